--- /dev/null
+++ b/kingcuplever/command/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one module for each group of subcommands."""
--- /dev/null
+++ b/kingcuplever/connection/http_server.py
@@ -0,0 +1,217 @@
+"""Serves HTTP with hypercorn for handlers that take and give whole bodies.
+
+Knows nothing of what is served.  Bodies are bounded and their length is
+checked; a half-sent, oversized or malformed request gets a typed error and
+touches no other.
+"""
+
+import json
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+from urllib import parse
+
+import hypercorn.config
+import hypercorn.trio
+import trio
+from hypercorn import typing as hypercorn_typing
+
+from kingcuplever import errors
+
+MAX_BODY_BYTES: Final = 1024 * 1024
+BODY_TIMEOUT_S: Final = 10.0
+KEEP_ALIVE_S: Final = 30.0
+GRACEFUL_S: Final = 20.0
+
+
+class HttpRequest(NamedTuple):
+    """One whole request.
+
+    :ivar headers: names in lower case.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+
+class HttpResponse(NamedTuple):
+    """One whole response."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+def json_response(
+    value: Any, status: int = 200, *headers: tuple[str, str]
+) -> HttpResponse:
+    """Give a response with a JSON body."""
+    body = json.dumps(value, separators=(",", ":")).encode()
+    kind = ("content-type", "application/json")
+    return HttpResponse(status, (kind, *headers), body)
+
+
+def problem(
+    error: errors.KingcupleverError,
+    *headers: tuple[str, str],
+    extra: dict[str, Any] | None = None,
+) -> HttpResponse:
+    """Give the ``application/problem+json`` form of an error."""
+    facts = error.facts
+    document = {
+        "code": error.code.value,
+        "run": facts.run.value,
+        "detail": error.detail,
+        "remedy": facts.remedy,
+        **(extra or {}),
+    }
+    body = json.dumps(document, separators=(",", ":")).encode()
+    kind = ("content-type", "application/problem+json")
+    return HttpResponse(facts.status, (kind, *headers), body)
+
+
+def parse_json(body: bytes) -> Any:
+    """Parse a JSON body.
+
+    :raises errors.InvalidRequest: if it is none.
+    """
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise errors.InvalidRequest(
+            f"The body is not JSON ({error}); send a JSON document."
+        ) from error
+
+
+async def serve(
+    address: str,
+    handler: Handler,
+    stop: trio.Event,
+    *,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until ``stop``; requests in progress are finished first.
+
+    :param address: IP number and port, ``host:port``.
+    :param task_status: started once the socket listens.
+    """
+    config = hypercorn.config.Config()
+    config.bind = [address]
+    config.accesslog = None
+    config.errorlog = None
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = GRACEFUL_S
+    config.include_server_header = False
+    # The handler bounds its own time; a waiting request must not be cut.
+    config.shutdown_timeout = GRACEFUL_S
+    application = _Application(handler)
+    await hypercorn.trio.serve(
+        application,
+        config,
+        shutdown_trigger=stop.wait,
+        task_status=task_status,
+        mode="asgi",
+    )
+
+
+class _Application:
+    """The ASGI application around one handler."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+
+    async def __call__(
+        self,
+        scope: hypercorn_typing.Scope,
+        receive: hypercorn_typing.ASGIReceiveCallable,
+        send: hypercorn_typing.ASGISendCallable,
+    ) -> None:
+        if scope["type"] == "lifespan":
+            await self._live(receive, send)
+        elif scope["type"] == "http":
+            await self._answer(scope, receive, send)
+
+    async def _live(
+        self,
+        receive: hypercorn_typing.ASGIReceiveCallable,
+        send: hypercorn_typing.ASGISendCallable,
+    ) -> None:
+        await receive()
+        await send({"type": "lifespan.startup.complete"})
+        await receive()
+        await send({"type": "lifespan.shutdown.complete"})
+
+    async def _answer(
+        self,
+        scope: hypercorn_typing.HTTPScope,
+        receive: hypercorn_typing.ASGIReceiveCallable,
+        send: hypercorn_typing.ASGISendCallable,
+    ) -> None:
+        try:
+            request = await _read_request(scope, receive)
+            if request is None:
+                return
+            response = await self._handler(request)
+        except errors.KingcupleverError as error:
+            response = problem(error)
+        await _send_response(response, send)
+
+
+async def _read_request(
+    scope: hypercorn_typing.HTTPScope,
+    receive: hypercorn_typing.ASGIReceiveCallable,
+) -> HttpRequest | None:
+    headers: dict[str, str] = {}
+    for name, value in scope["headers"]:
+        headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+    body = bytearray()
+    with trio.move_on_after(BODY_TIMEOUT_S) as timeout:
+        more = True
+        while more:
+            event = await receive()
+            if event["type"] != "http.request":
+                return None
+            body += event["body"]
+            more = event["more_body"]
+            if len(body) > MAX_BODY_BYTES:
+                raise errors.InvalidRequest(
+                    f"The body is over {MAX_BODY_BYTES} bytes; send less."
+                )
+    if timeout.cancelled_caught:
+        raise errors.InvalidRequest(
+            f"The body did not end within {BODY_TIMEOUT_S:.0f} s; send it"
+            " without a pause."
+        )
+    query = dict(parse.parse_qsl(scope["query_string"].decode("latin-1")))
+    return HttpRequest(
+        scope["method"], scope["path"], query, headers, bytes(body)
+    )
+
+
+async def _send_response(
+    response: HttpResponse, send: hypercorn_typing.ASGISendCallable
+) -> None:
+    headers = [(n.encode(), v.encode()) for n, v in response.headers]
+    headers.append((b"content-length", str(len(response.body)).encode()))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": response.status,
+            "headers": headers,
+        }
+    )
+    await send(
+        {
+            "type": "http.response.body",
+            "body": response.body,
+            "more_body": False,
+        }
+    )
--- /dev/null
+++ b/kingcuplever/connection/peer.py
@@ -0,0 +1,178 @@
+"""One TCP connection between an entry and a side, used both ways.
+
+Either end may send requests; replies carry the request's number.  One
+waiter stands behind each number: a late reply finds none and is dropped and
+counted.  The connection's own task reads; writes are serialized by a lock.
+"""
+
+import itertools
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import trio
+
+from kingcuplever import errors
+from kingcuplever import messages
+from kingcuplever.connection import frames
+
+Handler = Callable[["Peer", messages.Message], Awaitable[messages.Message]]
+
+
+class Peer:
+    """Requests and replies over one stream.
+
+    :ivar late_replies: replies that came after their waiter had left.
+    :ivar bytes_sent: bytes written so far.
+    :ivar bytes_received: bytes read so far.
+    """
+
+    def __init__(self, stream: trio.abc.Stream, handler: Handler) -> None:
+        """Take over a connected stream.
+
+        :param handler: serves the other end's requests; its errors are sent
+            back as :class:`messages.PeerError`.
+        """
+        self._stream = stream
+        self._handler = handler
+        self._ids = itertools.count(1)
+        self._waiters: dict[int, trio.MemorySendChannel[messages.Message]] = {}
+        self._write_lock = trio.Lock()
+        self._closed = False
+        self.late_replies = 0
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has ended."""
+        return self._closed
+
+    async def call(
+        self, message: messages.Message, timeout_s: float
+    ) -> messages.Message:
+        """Send a request and wait for its reply.
+
+        :raises errors.PeerLost: if the connection ended; ``sent`` says
+            whether the request may have left.
+        :raises errors.PeerTimeout: if no reply came in time.
+        """
+        number = next(self._ids)
+        data = frames.encode(frames.Frame(number, False, message))
+        send, receive = trio.open_memory_channel[messages.Message](1)
+        self._waiters[number] = send
+        try:
+            with trio.move_on_after(timeout_s) as scope:
+                await self._write(data)
+                reply = await receive.receive()
+            if scope.cancelled_caught:
+                raise errors.PeerTimeout(
+                    f"Peer did not answer within {timeout_s:.1f} s."
+                )
+        except trio.EndOfChannel:
+            raise errors.PeerLost(
+                "Connection ended before the reply.", sent=True
+            ) from None
+        finally:
+            self._waiters.pop(number, None)
+            send.close()
+            receive.close()
+        if isinstance(reply, messages.PeerError):
+            raise errors.KingcupleverError(
+                reply.detail, errors.Code(reply.code)
+            )
+        return reply
+
+    async def run(self) -> None:
+        """Read frames until the connection ends, then fail all waiters."""
+        try:
+            async with trio.open_nursery() as nursery:
+                await self._read_frames(nursery)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._closed = True
+            for waiter in self._waiters.values():
+                waiter.close()
+            with trio.CancelScope(shield=True) as scope:
+                scope.cancel()
+                await self._stream.aclose()
+
+    async def _read_frames(self, nursery: trio.Nursery) -> None:
+        buffer = bytearray()
+        while True:
+            while (frame := _take_frame(buffer)) is not None:
+                self._deliver(frame, nursery)
+            try:
+                data = await self._stream.receive_some(65536)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            self.bytes_received += len(data)
+            buffer += data
+
+    def _deliver(self, frame: frames.Frame, nursery: trio.Nursery) -> None:
+        if not frame.reply:
+            nursery.start_soon(self._serve, frame)
+            return
+        waiter = self._waiters.get(frame.id)
+        if waiter is None:
+            self.late_replies += 1
+            return
+        waiter.send_nowait(frame.message)
+
+    async def _serve(self, frame: frames.Frame) -> None:
+        try:
+            reply = await self._handler(self, frame.message)
+        except errors.KingcupleverError as error:
+            reply = messages.PeerError(error.code.value, error.detail)
+        data = frames.encode(frames.Frame(frame.id, True, reply))
+        try:
+            await self._write(data)
+        except errors.PeerLost:
+            # The reader sees the end of the connection as well.
+            return
+
+    async def _write(self, data: bytes) -> None:
+        if self._closed:
+            raise errors.PeerLost("Connection is closed.", sent=False)
+        async with self._write_lock:
+            # A write that is cut half-way would break the framing for all
+            # that follow, so it may not be cancelled once begun; a stuck
+            # connection ends by the heartbeats' own timeout.
+            with trio.CancelScope(shield=True) as scope:
+                scope.deadline = trio.current_time() + WRITE_TIMEOUT_S
+                try:
+                    await self._stream.send_all(data)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    raise errors.PeerLost(
+                        "Connection broke while sending.", sent=True
+                    ) from None
+            if scope.cancelled_caught:
+                self._closed = True
+                await self._stream.aclose()
+                raise errors.PeerLost("Peer does not read.", sent=True)
+        self.bytes_sent += len(data)
+
+
+WRITE_TIMEOUT_S = 5.0
+
+
+def _take_frame(buffer: bytearray) -> frames.Frame | None:
+    """Take one whole frame off the front of the buffer, if there is one.
+
+    :raises errors.InvalidRequest: if the frame is too long or unreadable.
+    """
+    header = frames.LENGTH.size
+    if len(buffer) < header:
+        return None
+    (length,) = frames.LENGTH.unpack_from(buffer)
+    if length > frames.MAX_FRAME_BYTES:
+        raise errors.InvalidRequest(
+            f"Peer announced a frame of {length} bytes; the most is"
+            f" {frames.MAX_FRAME_BYTES}."
+        )
+    if len(buffer) < header + length:
+        return None
+    data = bytes(buffer[header : header + length])
+    del buffer[: header + length]
+    return frames.decode(data)
--- /dev/null
+++ b/kingcuplever/gen/peer/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/kingcuplever/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one request of a caller or an operator."""
--- /dev/null
+++ b/kingcuplever/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as one version of the configuration."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, with a truth of their own."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the build."""
