--- /dev/null
+++ b/kingcuplever/command/operate.py
@@ -0,0 +1,264 @@
+"""Operators' commands: they talk HTTP to an entry and print the answer."""
+
+import argparse
+import json
+import os
+import pathlib
+import sys
+import time
+import tomllib
+from typing import Any
+from typing import Final
+
+import httpcore
+
+from kingcuplever.command import evidence
+from kingcuplever.command import tables
+
+EXIT_DONE: Final = 0
+EXIT_REFUSED: Final = 1
+EXIT_WRONG_INPUT: Final = 2
+EXIT_UNREACHABLE: Final = 3
+
+_TIMEOUT_S: Final = 20.0
+_WATCH_S: Final = 1.0
+_DEFAULT_ENTRY: Final = "127.0.0.1:17201"
+_STATUS: Final = ("jobs", "accounts", "workers", "targets", "config", "owners")
+# What `status` shows of each kind, in this order.
+_COLUMNS: Final = {
+    "jobs": (
+        "job account data_centre priority tasks gpus phase outcome attempt"
+        " evictions workers waiting"
+    ),
+    "accounts": (
+        "account data_centre guarantees missing_cells gpus_in_use max_gpus"
+    ),
+    "workers": (
+        "worker data_centre rack status gpus gpus_free cores_free"
+        " memory_free_gb reason"
+    ),
+    "targets": (
+        "side target service data_centre slots busy draining ejected"
+        " observed_ms"
+    ),
+    "owners": "data_centre owner epoch offset dropped_records deciding_here",
+}
+
+
+class _Unreachable(Exception):
+    """The entry did not answer."""
+
+
+class _WrongInput(Exception):
+    """The operator's input can't be used."""
+
+
+def add_parsers(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    """Add the operators' subcommands."""
+    common = argparse.ArgumentParser(add_help=False)
+    common.add_argument(
+        "--entry",
+        default=os.environ.get("KINGCUPLEVER_ENTRY", _DEFAULT_ENTRY),
+        help="operators' address of an entry, IP:PORT",
+    )
+    common.add_argument(
+        "--token",
+        default=os.environ.get("KINGCUPLEVER_TOKEN", ""),
+        help="operator's token from the settings",
+    )
+    common.add_argument("--json", action="store_true", help="for programs")
+    intent = commands.add_parser(
+        "intent", parents=[common], help="state an intent; get a plan"
+    )
+    intent.add_argument("kind", choices=("account", "job", "stop", "config"))
+    intent.add_argument("what", help="a TOML file; for stop, the job's name")
+    intent.add_argument(
+        "--confirm", action="store_true", help="confirm the plan at once"
+    )
+    confirm = commands.add_parser(
+        "confirm", parents=[common], help="confirm a plan"
+    )
+    confirm.add_argument("plan")
+    status = commands.add_parser(
+        "status", parents=[common], help="show what is"
+    )
+    status.add_argument("kind", choices=_STATUS)
+    status.add_argument("name", nargs="?", default="", help="one job, whole")
+    status.add_argument(
+        "--where",
+        action="append",
+        default=[],
+        metavar="COLUMN=VALUE",
+        help="keep matching rows; may be repeated",
+    )
+    status.add_argument(
+        "--watch", action="store_true", help="repeat until interrupted"
+    )
+    evidence.add_parser(commands, common)
+
+
+def run(parsed: argparse.Namespace) -> int:
+    """Run one operators' command.
+
+    :return: the exit code.
+    """
+    try:
+        if parsed.command == "intent":
+            return _intent(parsed)
+        if parsed.command == "confirm":
+            return _confirm(parsed, parsed.plan)
+        if parsed.command == "status":
+            return _status(parsed)
+        return _evidence(parsed)
+    except _Unreachable as error:
+        print(f"{error}; check --entry.", file=sys.stderr)
+        return EXIT_UNREACHABLE
+    except _WrongInput as error:
+        print(error, file=sys.stderr)
+        return EXIT_WRONG_INPUT
+
+
+def _call(
+    parsed: argparse.Namespace, method: str, path: str, body: Any = None
+) -> tuple[int, Any]:
+    url = f"http://{parsed.entry}{path}"
+    content = b"" if body is None else json.dumps(body).encode()
+    headers = [
+        ("Authorization", f"Bearer {parsed.token}"),
+        ("Content-Length", str(len(content))),
+        ("Host", parsed.entry),
+    ]
+    timeout = {"connect": _TIMEOUT_S, "read": _TIMEOUT_S}
+    try:
+        response = httpcore.request(
+            method,
+            url,
+            headers=headers,
+            content=content,
+            extensions={"timeout": timeout},
+        )
+        return response.status, json.loads(response.content)
+    except (
+        httpcore.NetworkError,
+        httpcore.TimeoutException,
+        httpcore.ProtocolError,
+        httpcore.UnsupportedProtocol,
+        ValueError,
+    ) as error:
+        raise _Unreachable(f"{url} can't be used ({error!r})") from error
+
+
+def _read_document(path: str) -> dict[str, Any]:
+    try:
+        return tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise _WrongInput(
+            f"{path}: {error.strerror}; check the path"
+        ) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise _WrongInput(f"{path}: is not TOML ({error})") from error
+
+
+def _intent(parsed: argparse.Namespace) -> int:
+    body: dict[str, Any] = {"kind": parsed.kind}
+    if parsed.kind == "stop":
+        body["stop"] = parsed.what
+    else:
+        body[parsed.kind] = _read_document(parsed.what)
+    status, answer = _call(parsed, "POST", "/v1/intents", body)
+    if status not in (200, 422) or "id" not in answer:
+        return _show_problem(parsed, answer)
+    _show_plan(parsed, answer)
+    if answer["refusal"]:
+        return EXIT_REFUSED
+    if parsed.confirm:
+        return _confirm(parsed, answer["id"])
+    return EXIT_DONE
+
+
+def _confirm(parsed: argparse.Namespace, plan: str) -> int:
+    status, answer = _call(parsed, "POST", f"/v1/plans/{plan}/confirm")
+    if status != 200:
+        code = _show_problem(parsed, answer)
+        if "newer_plan" in answer and not parsed.json:
+            print("The newer plan:")
+            _show_plan(parsed, answer["newer_plan"])
+        return code
+    if parsed.json:
+        print(json.dumps(answer))
+    else:
+        print(f"{plan} accepted, version {answer['version']}")
+    return EXIT_DONE
+
+
+def _show_plan(parsed: argparse.Namespace, plan: dict[str, Any]) -> None:
+    if parsed.json:
+        print(json.dumps(plan))
+        return
+    print(f"plan {plan['id']} from version {plan['base_version']}")
+    if plan["refusal"]:
+        print(f"refused: {plan['refusal']}")
+        return
+    rows = tables.render(plan["effects"], ("subject", "before", "after"))
+    print(rows)
+    if plan["forecast"]:
+        print(f"expected: {plan['forecast']}")
+    if not parsed_confirms(parsed):
+        print(f"nothing has changed yet; kingcuplever confirm {plan['id']}")
+
+
+def parsed_confirms(parsed: argparse.Namespace) -> bool:
+    """Tell whether the plan is confirmed by the same command."""
+    return bool(getattr(parsed, "confirm", False))
+
+
+def _show_problem(parsed: argparse.Namespace, answer: Any) -> int:
+    if parsed.json:
+        print(json.dumps(answer))
+    else:
+        code = answer.get("code", "?")
+        print(f"{code}: {answer.get('detail', answer)}", file=sys.stderr)
+        print(answer.get("remedy", ""), file=sys.stderr)
+    wrong = answer.get("code") in ("INVALID_REQUEST", "UNAUTHORIZED")
+    return EXIT_WRONG_INPUT if wrong else EXIT_REFUSED
+
+
+def _status(parsed: argparse.Namespace) -> int:
+    while True:
+        code = _status_once(parsed)
+        if not parsed.watch or code != EXIT_DONE:
+            return code
+        time.sleep(_WATCH_S)
+        print()
+
+
+def _status_once(parsed: argparse.Namespace) -> int:
+    path = f"/v1/{parsed.kind}"
+    if parsed.name:
+        path += f"/{parsed.name}"
+    conditions = []
+    for condition in parsed.where:
+        if "=" not in condition:
+            raise _WrongInput(f"--where {condition}: write COLUMN=VALUE")
+        conditions.append(condition)
+    if conditions:
+        path += "?" + "&".join(conditions)
+    status, answer = _call(parsed, "GET", path)
+    if status != 200:
+        return _show_problem(parsed, answer)
+    if parsed.json:
+        print(json.dumps(answer))
+    elif isinstance(answer, list):
+        print(tables.render(answer, _COLUMNS[parsed.kind].split()))
+    else:
+        print(tables.render_one(answer))
+    return EXIT_DONE
+
+
+def _evidence(parsed: argparse.Namespace) -> int:
+    status, answer = _call(parsed, "GET", "/v1/evidence")
+    if status != 200:
+        return _show_problem(parsed, answer)
+    return evidence.show(parsed, answer)
--- a/kingcuplever/connection/http_server.py
+++ b/kingcuplever/connection/http_server.py
@@ -5,9 +5,9 @@
 touches no other.
 """
 
-import json
 from collections.abc import Awaitable
 from collections.abc import Callable
+import json
 from typing import Any
 from typing import Final
 from typing import NamedTuple
@@ -15,8 +15,8 @@
 
 import hypercorn.config
 import hypercorn.trio
-import trio
 from hypercorn import typing as hypercorn_typing
+import trio
 
 from kingcuplever import errors
 
--- a/kingcuplever/connection/log_service.py
+++ b/kingcuplever/connection/log_service.py
@@ -9,8 +9,8 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from kingcuplever import errors
 from kingcuplever.connection import http_client
+from kingcuplever import errors
 
 READ_MARGIN_S: Final = 2.0
 READ_MOST: Final = 500
--- a/kingcuplever/connection/peer.py
+++ b/kingcuplever/connection/peer.py
@@ -5,15 +5,15 @@
 counted.  The connection's own task reads; writes are serialized by a lock.
 """
 
-import itertools
 from collections.abc import Awaitable
 from collections.abc import Callable
+import itertools
 
 import trio
 
+from kingcuplever.connection import frames
 from kingcuplever import errors
 from kingcuplever import messages
-from kingcuplever.connection import frames
 
 Handler = Callable[["Peer", messages.Message], Awaitable[messages.Message]]
 
@@ -96,6 +96,11 @@
                 scope.cancel()
                 await self._stream.aclose()
 
+    async def close(self) -> None:
+        """End the connection at once."""
+        self._closed = True
+        await trio.aclose_forcefully(self._stream)
+
     async def _read_frames(self, nursery: trio.Nursery) -> None:
         buffer = bytearray()
         while True:
--- a/kingcuplever/connection/worker_platform.py
+++ b/kingcuplever/connection/worker_platform.py
@@ -3,10 +3,10 @@
 from typing import NamedTuple
 from typing import Protocol
 
+from kingcuplever.connection import http_client
 from kingcuplever import errors
 from kingcuplever import messages
 from kingcuplever import plain
-from kingcuplever.connection import http_client
 
 
 class PlatformTask(NamedTuple):
@@ -14,6 +14,7 @@
 
     :ivar id: our name of the task, see :func:`task_id`.
     :ivar progress: seconds of work that the newest checkpoint holds.
+    :ivar lease_ms: what is left of the task's lease.
     """
 
     id: str
@@ -25,6 +26,7 @@
     gpu_mask: int
     cores: float
     memory_gb: float
+    lease_ms: int
 
 
 class PlatformStatus(NamedTuple):
--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -874,12 +874,12 @@
      - timeout_ms
      - headers
      - body
-     - fence
+     - incarnation
 
     """
 
 
-    def __init__(self, request=None, key=None, idempotent=None, account=None, service_name=None, target=None, timeout_ms=None, headers=None, body=None, fence=None,):
+    def __init__(self, request=None, key=None, idempotent=None, account=None, service_name=None, target=None, timeout_ms=None, headers=None, body=None, incarnation=None,):
         self.request = request
         self.key = key
         self.idempotent = idempotent
@@ -889,7 +889,7 @@
         self.timeout_ms = timeout_ms
         self.headers = headers
         self.body = body
-        self.fence = fence
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -952,8 +952,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
-                if ftype == TType.BOOL:
-                    self.fence = iprot.readBool()
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1005,9 +1005,9 @@
             oprot.writeFieldBegin('body', TType.STRING, 9)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
-        if self.fence is not None:
-            oprot.writeFieldBegin('fence', TType.BOOL, 10)
-            oprot.writeBool(self.fence)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 10)
+            oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1159,6 +1159,197 @@
         return not (self == other)
 
 
+class Claim(object):
+    """
+    Attributes:
+     - request
+     - key
+     - runner
+     - incarnation
+     - replaces
+     - since_ms
+
+    """
+
+
+    def __init__(self, request=None, key=None, runner=None, incarnation=None, replaces=None, since_ms=None,):
+        self.request = request
+        self.key = key
+        self.runner = runner
+        self.incarnation = incarnation
+        self.replaces = replaces
+        self.since_ms = since_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.replaces = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.since_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Claim')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 3)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 4)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.replaces is not None:
+            oprot.writeFieldBegin('replaces', TType.STRING, 5)
+            oprot.writeString(self.replaces.encode('utf-8') if sys.version_info[0] == 2 else self.replaces)
+            oprot.writeFieldEnd()
+        if self.since_ms is not None:
+            oprot.writeFieldBegin('since_ms', TType.I64, 6)
+            oprot.writeI64(self.since_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ClaimReply(object):
+    """
+    Attributes:
+     - granted
+     - runner
+     - incarnation
+
+    """
+
+
+    def __init__(self, granted=None, runner=None, incarnation=None,):
+        self.granted = granted
+        self.runner = runner
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimReply')
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 1)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 2)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 3)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class TaskOrder(object):
     """
     Attributes:
@@ -1875,11 +2066,13 @@
      - throttle
      - task_report
      - peer_error
+     - claim
+     - claim_reply
 
     """
 
 
-    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, reserve=None, go=None, stop=None, throttle=None, task_report=None, peer_error=None,):
+    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, reserve=None, go=None, stop=None, throttle=None, task_report=None, peer_error=None, claim=None, claim_reply=None,):
         self.heartbeat = heartbeat
         self.heartbeat_reply = heartbeat_reply
         self.dispatch = dispatch
@@ -1890,6 +2083,8 @@
         self.throttle = throttle
         self.task_report = task_report
         self.peer_error = peer_error
+        self.claim = claim
+        self.claim_reply = claim_reply
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1960,6 +2155,18 @@
                     self.peer_error.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.claim = Claim()
+                    self.claim.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.claim_reply = ClaimReply()
+                    self.claim_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2010,6 +2217,14 @@
             oprot.writeFieldBegin('peer_error', TType.STRUCT, 10)
             self.peer_error.write(oprot)
             oprot.writeFieldEnd()
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.STRUCT, 11)
+            self.claim.write(oprot)
+            oprot.writeFieldEnd()
+        if self.claim_reply is not None:
+            oprot.writeFieldBegin('claim_reply', TType.STRUCT, 12)
+            self.claim_reply.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2190,7 +2405,7 @@
     (7, TType.I32, 'timeout_ms', None, None, ),  # 7
     (8, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 8
     (9, TType.STRING, 'body', 'BINARY', None, ),  # 9
-    (10, TType.BOOL, 'fence', None, None, ),  # 10
+    (10, TType.I64, 'incarnation', None, None, ),  # 10
 )
 all_structs.append(DispatchReply)
 DispatchReply.thrift_spec = (
@@ -2203,6 +2418,23 @@
     (6, TType.I32, 'length', None, None, ),  # 6
     (7, TType.STRING, 'detail', 'UTF8', None, ),  # 7
 )
+all_structs.append(Claim)
+Claim.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'request', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'runner', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'incarnation', None, None, ),  # 4
+    (5, TType.STRING, 'replaces', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'since_ms', None, None, ),  # 6
+)
+all_structs.append(ClaimReply)
+ClaimReply.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'granted', None, None, ),  # 1
+    (2, TType.STRING, 'runner', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'incarnation', None, None, ),  # 3
+)
 all_structs.append(TaskOrder)
 TaskOrder.thrift_spec = (
     None,  # 0
@@ -2277,6 +2509,8 @@
     (8, TType.STRUCT, 'throttle', [Throttle, None], None, ),  # 8
     (9, TType.STRUCT, 'task_report', [TaskReport, None], None, ),  # 9
     (10, TType.STRUCT, 'peer_error', [PeerError, None], None, ),  # 10
+    (11, TType.STRUCT, 'claim', [Claim, None], None, ),  # 11
+    (12, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 12
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -123,9 +123,9 @@
 class Dispatch(NamedTuple):
     """A caller's request on its way to a target.
 
-    :ivar key: the caller's idempotency key, or empty.
-    :ivar fence: do not run; make sure that the key never runs, and say
-        what became of it.
+    :ivar key: the caller's idempotency key with its account, or empty.
+    :ivar incarnation: incarnation of the side that a key is claimed for;
+        another one has no memory of it and must not run it.  0 without key.
     """
 
     request: str
@@ -137,7 +137,7 @@
     timeout_ms: int
     headers: tuple[Header, ...]
     body: bytes
-    fence: bool
+    incarnation: int
 
 
 class DispatchReply(NamedTuple):
@@ -156,6 +156,37 @@
     detail: str
 
 
+class Claim(NamedTuple):
+    """Has a side witness which side runs a key.
+
+    :ivar runner: side that is to run it; empty to fence a key that nobody
+        has claimed, so that no sending from before may still run.
+    :ivar incarnation: incarnation of that side.
+    :ivar replaces: side that has fenced the key, so that another may run
+        it, or empty.
+    :ivar since_ms: wall clock of the entry when this sending came.
+    """
+
+    request: str
+    key: str
+    runner: str
+    incarnation: int
+    replaces: str
+    since_ms: int
+
+
+class ClaimReply(NamedTuple):
+    """Who runs a key, as the witness knows it.
+
+    :ivar granted: whether the claim holds.
+    :ivar runner: who runs the key; empty if it is fenced.
+    """
+
+    granted: bool
+    runner: str
+    incarnation: int
+
+
 class TaskOrder(NamedTuple):
     """What one task of a gang needs on this worker.
 
@@ -251,4 +282,6 @@
     | Throttle
     | TaskReport
     | PeerError
+    | Claim
+    | ClaimReply
 )
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -40,7 +40,7 @@
 struct Dispatch {
   1: string request, 2: string key, 3: bool idempotent, 4: string account,
   5: string service_name, 6: string target, 7: i32 timeout_ms,
-  8: list<Header> headers, 9: binary body, 10: bool fence
+  8: list<Header> headers, 9: binary body, 10: i64 incarnation
 }
 
 struct DispatchReply {
@@ -48,6 +48,15 @@
   4: list<Header> headers, 5: binary body, 6: i32 length, 7: string detail
 }
 
+struct Claim {
+  1: string request, 2: string key, 3: string runner, 4: i64 incarnation,
+  5: string replaces, 6: i64 since_ms
+}
+
+struct ClaimReply {
+  1: bool granted, 2: string runner, 3: i64 incarnation
+}
+
 struct TaskOrder {
   1: i32 task, 2: i32 gpu_mask, 3: double cores, 4: double memory_gb,
   5: string payload, 6: double progress
@@ -82,7 +91,8 @@
   1: Heartbeat heartbeat, 2: HeartbeatReply heartbeat_reply,
   3: Dispatch dispatch, 4: DispatchReply dispatch_reply,
   5: Reserve reserve, 6: Go go, 7: Stop stop, 8: Throttle throttle,
-  9: TaskReport task_report, 10: PeerError peer_error
+  9: TaskReport task_report, 10: PeerError peer_error, 11: Claim claim,
+  12: ClaimReply claim_reply
 }
 
 struct Frame { 1: i64 id, 2: bool reply, 3: Body body }
--- a/kingcuplever/process/bindings.py
+++ b/kingcuplever/process/bindings.py
@@ -10,11 +10,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from kingcuplever import shapes
 from kingcuplever.process import blocks
 from kingcuplever.process import ledger as ledgers
 from kingcuplever.process import placement
 from kingcuplever.process import state
+from kingcuplever import shapes
 
 
 class Shortfall(NamedTuple):
--- a/kingcuplever/process/chooser.py
+++ b/kingcuplever/process/chooser.py
@@ -8,13 +8,13 @@
 from typing import Final
 from typing import NamedTuple
 
-from kingcuplever import records
-from kingcuplever import shapes
 from kingcuplever.process import bindings
 from kingcuplever.process import blocks
 from kingcuplever.process import ledger as ledgers
 from kingcuplever.process import placement
 from kingcuplever.process import state
+from kingcuplever import records
+from kingcuplever import shapes
 
 _ROUNDING: Final = 1e-6
 
--- a/kingcuplever/process/follower.py
+++ b/kingcuplever/process/follower.py
@@ -14,10 +14,10 @@
 
 import trio
 
+from kingcuplever.connection import log_service
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import records
-from kingcuplever.connection import log_service
 
 POLL_MS: Final = 1000
 _RETRY_S: Final = 0.2
--- a/kingcuplever/process/gangs.py
+++ b/kingcuplever/process/gangs.py
@@ -7,18 +7,18 @@
 stopped, or when its lease has surely ended.
 """
 
-import enum
 from collections.abc import Iterator
+import enum
 from typing import Final
 from typing import NamedTuple
 
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever import options
-from kingcuplever import records
-from kingcuplever import shapes
 from kingcuplever.process import commands
 from kingcuplever.process import ledger as ledgers
+from kingcuplever import records
+from kingcuplever import shapes
 
 ALIVE: Final = frozenset({messages.RESERVED, messages.RUNNING})
 # A worker's clock may run slower than the owner's by this much.
@@ -245,14 +245,24 @@
         for worker in run.members:
             self._runs_on[worker].discard(key)
 
-    def report(self, report: Report, now: float) -> None:
-        """Take in what a side said."""
+    def hear(self, report: Report, now: float) -> SideView | None:
+        """Note what a side said, without acting on it.
+
+        :return: the view, or ``None`` if a newer report is known.
+        """
         view = self.views.get(report.worker)
         if view is None:
             view = self.views[report.worker] = SideView(report, now)
         elif not view.is_newer(report):
-            return
+            return None
         view.update(report, now)
+        return view
+
+    def report(self, report: Report, now: float) -> None:
+        """Take in what a side said."""
+        view = self.hear(report, now)
+        if view is None:
+            return
         for key in sorted(self._runs_on.get(report.worker, ())):
             self._reconcile(self.runs[key], report.worker, now)
         for key, tasks in view.tasks.items():
@@ -317,8 +327,8 @@
             if key not in self.runs and not _any_alive(tasks)
         )
 
-    def drop_views(self) -> None:
-        """Forget all that the sides said, at the loss of the epoch."""
+    def drop_runs(self) -> None:
+        """Forget every run, at a change of the epoch."""
         self.runs.clear()
         self._runs_on.clear()
         self._outstanding.clear()
--- /dev/null
+++ b/kingcuplever/process/keys.py
@@ -0,0 +1,180 @@
+"""What a side remembers of request keys: at most one run of each.
+
+A key is remembered before its target sees the request, and until the
+horizon has passed after its end.  The table is bounded; a full table refuses
+new keys and forgets none early.  Pure: time is passed in.
+"""
+
+import collections
+import enum
+from typing import Final
+from typing import NamedTuple
+
+from kingcuplever import messages
+
+MAX_KEYS: Final = 100_000
+# Entries' wall clocks may differ by so much.
+CLOCK_SKEW_MS: Final = 500
+# Answers larger than this are not kept; a resend learns that it ran.
+MAX_KEPT_ANSWER: Final = 64 * 1024
+# All kept answers together.
+MAX_KEPT_BYTES: Final = 16 * 1024 * 1024
+
+
+class Admission(enum.Enum):
+    """What to do with a dispatch that carries a key."""
+
+    RUN = "run"
+    JOIN = "join"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+    FENCED = "fenced"
+    FULL = "full"
+
+
+class Claimed(NamedTuple):
+    """Who runs a key.
+
+    :ivar runner: the side; empty for a fence.
+    :ivar incarnation: of the runner; of a fence, its wall clock.
+    """
+
+    runner: str
+    incarnation: int
+
+
+class _Key:
+    """One key that runs or ran here."""
+
+    def __init__(self) -> None:
+        self.reply: messages.DispatchReply | None = None
+        self.ended = False
+        self.fenced = False
+
+
+class KeyTable:
+    """Keys that run or ran at this side."""
+
+    def __init__(self, horizon_s: float) -> None:
+        """Remember each key for ``horizon_s`` after its end."""
+        self._horizon_s = horizon_s
+        self._keys: dict[str, _Key] = {}
+        self._ended: collections.deque[tuple[float, str]] = collections.deque()
+        self._kept_bytes = 0
+
+    def __len__(self) -> int:
+        """Count the remembered keys."""
+        return len(self._keys)
+
+    def admit(self, key: str, now: float) -> Admission:
+        """Decide about a dispatch; a new key is remembered at once."""
+        self._forget(now)
+        known = self._keys.get(key)
+        if known is None:
+            if len(self._keys) >= MAX_KEYS:
+                return Admission.FULL
+            self._keys[key] = _Key()
+            return Admission.RUN
+        if known.fenced:
+            return Admission.FENCED
+        if not known.ended:
+            return Admission.JOIN
+        if known.reply is not None:
+            return Admission.ANSWERED
+        return Admission.UNKNOWN
+
+    def answer_of(self, key: str) -> messages.DispatchReply | None:
+        """Give the answer that a key had, if it is kept."""
+        known = self._keys.get(key)
+        return known.reply if known else None
+
+    def end(self, key: str, reply: messages.DispatchReply, now: float) -> None:
+        """Note how a key's run ended.
+
+        A key that did not run is fenced: it never runs here, so that
+        another side may safely run it.
+        """
+        known = self._keys[key]
+        known.ended = True
+        known.fenced = reply.verdict == messages.NOT_RUN
+        self._ended.append((now, key))
+        size = len(reply.body)
+        fits = self._kept_bytes + size <= MAX_KEPT_BYTES
+        answered = reply.verdict == messages.ANSWERED
+        if answered and size <= MAX_KEPT_ANSWER and fits:
+            known.reply = reply
+            self._kept_bytes += size
+
+    def _forget(self, now: float) -> None:
+        while self._ended and now - self._ended[0][0] > self._horizon_s:
+            _, key = self._ended.popleft()
+            known = self._keys.pop(key)
+            if known.reply is not None:
+                self._kept_bytes -= len(known.reply.body)
+
+
+class ClaimTable:
+    """Keys whose runner this side witnesses."""
+
+    def __init__(self, horizon_s: float) -> None:
+        """Remember each claim for ``horizon_s`` after it was last asked."""
+        self._horizon_s = horizon_s
+        self._claims: dict[str, tuple[float, Claimed]] = {}
+
+    def __len__(self) -> int:
+        """Count the remembered claims."""
+        return len(self._claims)
+
+    def claim(
+        self,
+        key: str,
+        claimed: Claimed,
+        replaces: str,
+        since_ms: int,
+        now: float,
+    ) -> tuple[bool, Claimed] | None:
+        """Claim a key for a runner, or fence it.
+
+        A fence holds against every sending that came before it; a later
+        sending may claim the key again.
+
+        :param claimed: the runner; without one, the key is fenced.
+        :param replaces: side that has fenced the key, or empty.
+        :param since_ms: wall clock when this sending came.
+        :return: whether the claim holds, and who runs the key; ``None`` if
+            the table is full.
+        """
+        self._forget(now)
+        wanted = claimed if claimed.runner else Claimed("", since_ms)
+        known = self._claims.pop(key, None)
+        if known is None:
+            if len(self._claims) >= MAX_KEYS:
+                return None
+            self._claims[key] = (now, wanted)
+            return True, wanted
+        holds = _may_replace(known[1], wanted, replaces, since_ms)
+        if holds and not wanted.runner and not known[1].runner:
+            fenced_ms = max(known[1].incarnation, since_ms)
+            wanted = Claimed("", fenced_ms)
+        kept = wanted if holds else known[1]
+        self._claims[key] = (now, kept)
+        return holds, kept
+
+    def _forget(self, now: float) -> None:
+        # The table is in the order of the last asking.
+        while self._claims:
+            key = next(iter(self._claims))
+            if now - self._claims[key][0] <= self._horizon_s:
+                return
+            del self._claims[key]
+
+
+def _may_replace(
+    known: Claimed, wanted: Claimed, replaces: str, since_ms: int
+) -> bool:
+    if known == wanted:
+        return True
+    if known.runner:
+        return known.runner == replaces
+    # A fence keeps its time in the place of the incarnation.
+    return not wanted.runner or since_ms > known.incarnation + CLOCK_SKEW_MS
--- a/kingcuplever/process/ledger.py
+++ b/kingcuplever/process/ledger.py
@@ -10,8 +10,8 @@
 from typing import Final
 from typing import NamedTuple
 
-from kingcuplever import shapes
 from kingcuplever.process import blocks
+from kingcuplever import shapes
 
 # Cores and memory are sums of decimal fractions.
 _ROUNDING: Final = 1e-6
--- /dev/null
+++ b/kingcuplever/process/members.py
@@ -0,0 +1,123 @@
+"""The sides that are linked to one entry.
+
+A side is a member while its link lives and its heartbeats come.  Keys are
+spread over the members by a hash ring, so that the loss of one side moves
+only the keys that it held.
+"""
+
+import bisect
+import hashlib
+from typing import Final
+
+from kingcuplever.connection import peer as peers
+from kingcuplever import messages
+
+# Points of each side on the ring; more spread keys more evenly.
+_POINTS: Final = 32
+
+
+class Link:
+    """One side and the connection to it.
+
+    :ivar heard_at: monotonic time of its newest heartbeat.
+    """
+
+    def __init__(
+        self, peer: peers.Peer, heartbeat: messages.Heartbeat, now: float
+    ) -> None:
+        """Take a side's first heartbeat on a connection."""
+        self.peer = peer
+        self.side = heartbeat.side
+        self.incarnation = heartbeat.incarnation
+        self.data_centre = heartbeat.data_centre
+        self.heard_at = now
+        self.config_version = heartbeat.config_version
+        self.epoch = heartbeat.epoch
+        self.worker = heartbeat.worker.worker if heartbeat.worker else ""
+
+
+class Members:
+    """All linked sides of one entry."""
+
+    def __init__(self) -> None:
+        """Start without sides."""
+        self._links: dict[str, Link] = {}
+        self._by_worker: dict[str, str] = {}
+        self._ring: list[tuple[int, str]] = []
+
+    def __len__(self) -> int:
+        """Count the linked sides."""
+        return len(self._links)
+
+    def heard(
+        self, peer: peers.Peer, heartbeat: messages.Heartbeat, now: float
+    ) -> bool:
+        """Take a heartbeat in.
+
+        :return: whether the side is newly linked or has restarted.
+        """
+        known = self._links.get(heartbeat.side)
+        if known is not None and heartbeat.incarnation < known.incarnation:
+            return False
+        link = Link(peer, heartbeat, now)
+        self._links[heartbeat.side] = link
+        if link.worker:
+            self._by_worker[link.worker] = link.side
+        if known is None:
+            self._make_ring()
+        return known is None or known.incarnation != link.incarnation
+
+    def lost(self, peer: peers.Peer) -> str:
+        """Forget the side of a connection that ended.
+
+        :return: its name, or empty if it has a newer connection.
+        """
+        for link in self._links.values():
+            if link.peer is peer:
+                del self._links[link.side]
+                self._make_ring()
+                return link.side
+        return ""
+
+    def silent(self, now: float, silence_s: float) -> list[Link]:
+        """Give the links whose heartbeats have stopped."""
+        return [
+            link
+            for link in self._links.values()
+            if now - link.heard_at > silence_s
+        ]
+
+    def find(self, side: str) -> Link | None:
+        """Give the link of a side."""
+        return self._links.get(side)
+
+    def find_worker(self, worker: str) -> Link | None:
+        """Give the link of the side beside a worker."""
+        return self._links.get(self._by_worker.get(worker, ""))
+
+    def all(self) -> list[Link]:
+        """Give every link, by the side's name."""
+        return [self._links[name] for name in sorted(self._links)]
+
+    def holders(self, key: str, count: int) -> list[Link]:
+        """Give the sides that remember a key's claim, its home first."""
+        found: dict[str, None] = {}
+        start = bisect.bisect(self._ring, (_hash(key), ""))
+        for step in range(len(self._ring)):
+            _, side = self._ring[(start + step) % len(self._ring)]
+            found[side] = None
+            if len(found) == count:
+                break
+        return [self._links[side] for side in found]
+
+    def _make_ring(self) -> None:
+        self._ring = sorted(
+            (_hash(f"{side}#{point}"), side)
+            for side in self._links
+            for point in range(_POINTS)
+        )
+
+
+def _hash(text: str) -> int:
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
--- /dev/null
+++ b/kingcuplever/process/metrics.py
@@ -0,0 +1,92 @@
+"""Prometheus metrics of an entry."""
+
+import prometheus_client
+
+
+class EntryMetrics:
+    """All metrics of one entry, in a registry of their own."""
+
+    def __init__(self) -> None:
+        """Register the metrics."""
+        self.registry = prometheus_client.CollectorRegistry()
+        self.requests = prometheus_client.Counter(
+            "kingcuplever_requests",
+            "Callers' requests by service and result.",
+            ["service", "result"],
+            registry=self.registry,
+        )
+        self.request_seconds = prometheus_client.Histogram(
+            "kingcuplever_request_seconds",
+            "Time from a caller's request to its answer.",
+            ["service", "priority"],
+            registry=self.registry,
+        )
+        self.retries = prometheus_client.Counter(
+            "kingcuplever_retries",
+            "Requests sent to another target.",
+            ["service"],
+            registry=self.registry,
+        )
+        self.waiting_requests = prometheus_client.Gauge(
+            "kingcuplever_waiting_requests",
+            "Requests that wait for a slot.",
+            registry=self.registry,
+        )
+        self.sides = prometheus_client.Gauge(
+            "kingcuplever_sides",
+            "Sides that are linked.",
+            registry=self.registry,
+        )
+        self.config_version = prometheus_client.Gauge(
+            "kingcuplever_config_version",
+            "Version of the configuration in force.",
+            registry=self.registry,
+        )
+        self.epoch = prometheus_client.Gauge(
+            "kingcuplever_epoch",
+            "Newest epoch of a data centre's scheduling.",
+            ["data_centre"],
+            registry=self.registry,
+        )
+        self.owning = prometheus_client.Gauge(
+            "kingcuplever_owning",
+            "1 where this entry owns a data centre's scheduling.",
+            ["data_centre"],
+            registry=self.registry,
+        )
+        self.jobs = prometheus_client.Gauge(
+            "kingcuplever_jobs",
+            "Jobs by phase.",
+            ["data_centre", "phase"],
+            registry=self.registry,
+        )
+        self.fragmentation = prometheus_client.Gauge(
+            "kingcuplever_fragmentation",
+            "Share of free accelerators that no gang of a size can use.",
+            ["data_centre", "gpus"],
+            registry=self.registry,
+        )
+        self.completion_seconds = prometheus_client.Histogram(
+            "kingcuplever_completion_seconds",
+            "Time from a job's acceptance to its end.",
+            ["data_centre", "priority"],
+            buckets=(1, 5, 15, 60, 300, 900, 3600, 14400, 43200),
+            registry=self.registry,
+        )
+        self.reclaim_seconds = prometheus_client.Histogram(
+            "kingcuplever_reclaim_seconds",
+            "Time from a reclaim's decision to the placement it was for.",
+            ["data_centre"],
+            buckets=(0.5, 1, 2, 4, 8, 16, 32),
+            registry=self.registry,
+        )
+        self.dropped = prometheus_client.Gauge(
+            "kingcuplever_dropped_records",
+            "Records of past owners that were left out.",
+            ["data_centre"],
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Give the text that Prometheus reads."""
+        return prometheus_client.generate_latest(self.registry)
--- a/kingcuplever/process/owner.py
+++ b/kingcuplever/process/owner.py
@@ -12,8 +12,6 @@
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever import options
-from kingcuplever import records
-from kingcuplever import shapes
 from kingcuplever.process import chooser
 from kingcuplever.process import commands
 from kingcuplever.process import gangs
@@ -23,6 +21,8 @@
 from kingcuplever.process import queueing
 from kingcuplever.process import state
 from kingcuplever.process import usage
+from kingcuplever import records
+from kingcuplever import shapes
 from kingcuplever.version import configuration
 
 # Most jobs that one round begins; the next round goes on.
@@ -93,7 +93,7 @@
         self._owning = True
         self._gained_at = moment.now
         self._dirty = True
-        self._gangs.drop_views()
+        self._gangs.drop_runs()
         self._gangs.epoch = self._schedule.epoch
         for job in self._schedule.jobs.values():
             if job.phase in ("running", "stopping"):
@@ -109,7 +109,7 @@
         for run in self._gangs.runs.values():
             if run.stage in (gangs.Stage.RESERVING, gangs.Stage.COMMITTING):
                 self._schedule.ledger.release(*run.key)
-        self._gangs.drop_views()
+        self._gangs.drop_runs()
         self._queue.keeps.clear()
         self._worker_appends.clear()
         self._reclaims.clear()
@@ -143,9 +143,10 @@
         moment: Moment,
     ) -> None:
         """Take in what a side said about its worker."""
-        self._gangs.report(report, moment.now)
         if not self._owning:
+            self._gangs.hear(report, moment.now)
             return
+        self._gangs.report(report, moment.now)
         self._note_worker(shape)
         self._watch_usage(report)
         self._take_notices(moment)
--- a/kingcuplever/process/placement.py
+++ b/kingcuplever/process/placement.py
@@ -5,16 +5,16 @@
 wins, so that large blocks stay whole.  Pure functions over the ledger.
 """
 
-import enum
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import enum
 from typing import Final
 from typing import NamedTuple
 
-from kingcuplever import shapes
 from kingcuplever.process import blocks
 from kingcuplever.process import ledger as ledgers
+from kingcuplever import shapes
 
 # A small gang looks at so many workers before it settles for less.
 _LOOK_AT_MOST: Final = 64
--- a/kingcuplever/process/planner.py
+++ b/kingcuplever/process/planner.py
@@ -7,11 +7,11 @@
 
 from typing import NamedTuple
 
-from kingcuplever import records
-from kingcuplever import shapes
 from kingcuplever.process import bindings
 from kingcuplever.process import blocks
 from kingcuplever.process import state
+from kingcuplever import records
+from kingcuplever import shapes
 
 
 class Draft(NamedTuple):
--- a/kingcuplever/process/replay.py
+++ b/kingcuplever/process/replay.py
@@ -9,12 +9,12 @@
 from typing import Any
 from typing import Final
 
-from kingcuplever import records
-from kingcuplever import shapes
 from kingcuplever.process import bindings
 from kingcuplever.process import ledger as ledgers
 from kingcuplever.process import planner
 from kingcuplever.process import state
+from kingcuplever import records
+from kingcuplever import shapes
 
 # Plans that nobody confirmed are kept for so many later ones.
 _PLANS_KEPT: Final = 2000
@@ -197,7 +197,7 @@
     job.started_ms = job.started_ms or record.time_ms
     job.vacate_reason = ""
     hold_job(schedule.ledger, job)
-    _count_gpus(schedule, job, job.gpus)
+    count_gpus(schedule, job, job.gpus)
     return True
 
 
@@ -228,7 +228,8 @@
     account.bound[rebind.number] = bound._replace(cells=cells)
 
 
-def _count_gpus(schedule: state.Schedule, job: state.Job, gpus: int) -> None:
+def count_gpus(schedule: state.Schedule, job: state.Job, gpus: int) -> None:
+    """Add to the accelerators that a job's account and team use."""
     account = schedule.accounts.get(job.spec.account)
     if account is None:
         return
@@ -263,7 +264,7 @@
     if body.attempt != job.attempt:
         return False
     schedule.ledger.release(job.spec.job, job.attempt)
-    _count_gpus(schedule, job, -job.gpus)
+    count_gpus(schedule, job, -job.gpus)
     job.progress = max(job.progress, body.progress)
     if body.outcome == "done":
         _end(job, "done", record.time_ms)
--- a/kingcuplever/process/state.py
+++ b/kingcuplever/process/state.py
@@ -7,9 +7,9 @@
 from typing import Literal
 from typing import NamedTuple
 
+from kingcuplever.process import ledger as ledgers
 from kingcuplever import records
 from kingcuplever import shapes
-from kingcuplever.process import ledger as ledgers
 
 Phase = Literal["queued", "running", "stopping", "ended"]
 Decision = Literal["open", "accepted", "stale", "refused"]
--- a/kingcuplever/records.py
+++ b/kingcuplever/records.py
@@ -6,11 +6,11 @@
 
 import hashlib
 import json
-import uuid
 from typing import Any
 from typing import Final
 from typing import Literal
 from typing import NamedTuple
+import uuid
 
 from kingcuplever import errors
 from kingcuplever import plain
--- /dev/null
+++ b/kingcuplever/request/dispatching.py
@@ -0,0 +1,180 @@
+"""One request at the side: its key, its slot, its call to the target.
+
+The call runs in the process's nursery and not the connection's, so that a
+request in progress goes on when its entry dies, and its answer is there for
+a resend.
+"""
+
+from collections.abc import Callable
+
+import trio
+
+from kingcuplever.connection import http_client
+from kingcuplever import errors
+from kingcuplever import logs
+from kingcuplever import messages
+from kingcuplever.process import keys
+from kingcuplever.process import targets
+
+ClientOf = Callable[[str], http_client.HttpClient]
+
+
+class Desk:
+    """Takes dispatches for the targets of one side.
+
+    :ivar targets: the targets beside the side.
+    """
+
+    def __init__(
+        self,
+        side: str,
+        incarnation: int,
+        horizon_s: float,
+        client_of: ClientOf,
+        nursery: trio.Nursery,
+    ) -> None:
+        """Start without targets and without memory of keys.
+
+        :param client_of: gives the client of a target's address.
+        :param nursery: lives as long as the process.
+        """
+        self._side = side
+        self._incarnation = incarnation
+        self._client_of = client_of
+        self._nursery = nursery
+        self._keys = keys.KeyTable(horizon_s)
+        self._claims = keys.ClaimTable(horizon_s)
+        self._running: dict[str, _Running] = {}
+        self._in_progress = 0
+        self.targets = targets.TargetTable()
+
+    @property
+    def in_progress(self) -> int:
+        """Requests that have no answer yet."""
+        return self._in_progress
+
+    def claim(self, claim: messages.Claim) -> messages.ClaimReply:
+        """Witness who runs a key."""
+        claimed = keys.Claimed(claim.runner, claim.incarnation)
+        found = self._claims.claim(
+            claim.key,
+            claimed,
+            claim.replaces,
+            claim.since_ms,
+            trio.current_time(),
+        )
+        if found is None:
+            raise errors.KingcupleverError(
+                f"{self._side} remembers no more keys.",
+                errors.Code.OVERLOADED,
+            )
+        granted, known = found
+        return messages.ClaimReply(granted, known.runner, known.incarnation)
+
+    async def dispatch(
+        self, order: messages.Dispatch
+    ) -> messages.DispatchReply:
+        """Run a request, or join the run that its key has already."""
+        if not order.key:
+            return await self._start(order).wait()
+        if order.incarnation != self._incarnation:
+            return _reply(
+                order,
+                messages.UNKNOWN,
+                f"{self._side} has restarted since the key was claimed",
+            )
+        admission = self._keys.admit(order.key, trio.current_time())
+        if admission is keys.Admission.RUN:
+            return await self._start(order).wait()
+        if admission is keys.Admission.JOIN:
+            reply = await self._running[order.key].wait()
+            return reply._replace(request=order.request)
+        if admission is keys.Admission.FULL:
+            detail = f"{self._side} remembers no more keys"
+            return _reply(order, messages.NOT_RUN, detail)
+        if admission is keys.Admission.FENCED:
+            detail = f"the key is fenced at {self._side}"
+            return _reply(order, messages.NOT_RUN, detail)
+        known = self._keys.answer_of(order.key)
+        if known is not None:
+            return known._replace(request=order.request)
+        detail = "the key ran here; its answer is not kept"
+        return _reply(order, messages.UNKNOWN, detail)
+
+    def _start(self, order: messages.Dispatch) -> "_Running":
+        running = _Running()
+        if order.key:
+            self._running[order.key] = running
+        self._in_progress += 1
+        self._nursery.start_soon(self._run, order, running)
+        return running
+
+    async def _run(
+        self, order: messages.Dispatch, running: "_Running"
+    ) -> None:
+        reply = _reply(order, messages.UNKNOWN, "the side failed")
+        try:
+            reply = await self._call_target(order)
+        finally:
+            self._in_progress -= 1
+            if order.key:
+                self._keys.end(order.key, reply, trio.current_time())
+                del self._running[order.key]
+            running.end(reply)
+
+    async def _call_target(
+        self, order: messages.Dispatch
+    ) -> messages.DispatchReply:
+        target = self.targets.admit(order.target, order.service_name)
+        if isinstance(target, str):
+            return _reply(order, messages.NOT_RUN, target)
+        try:
+            client = self._client_of(target.announcement.address)
+            answer = await client.call(
+                "POST",
+                f"/requests/{order.service_name}",
+                order.body,
+                tuple((h.name, h.value) for h in order.headers),
+                order.timeout_ms / 1000,
+            )
+        except errors.PlatformFailed as error:
+            verdict = messages.UNKNOWN if error.sent else messages.NOT_RUN
+            logs.warn(logs.Part.ROUTE, f"{order.request}: {error.detail}")
+            return _reply(order, verdict, error.detail)
+        finally:
+            self.targets.release(target)
+        headers = tuple(messages.Header(*pair) for pair in answer.headers)
+        return messages.DispatchReply(
+            order.request,
+            messages.ANSWERED,
+            answer.status,
+            headers,
+            answer.body,
+            len(answer.body),
+            "",
+        )
+
+
+class _Running:
+    """A request in progress, with all who wait for its answer."""
+
+    def __init__(self) -> None:
+        self._done = trio.Event()
+        self._reply: messages.DispatchReply | None = None
+
+    def end(self, reply: messages.DispatchReply) -> None:
+        self._reply = reply
+        self._done.set()
+
+    async def wait(self) -> messages.DispatchReply:
+        await self._done.wait()
+        assert self._reply is not None
+        return self._reply
+
+
+def _reply(
+    order: messages.Dispatch, verdict: str, detail: str
+) -> messages.DispatchReply:
+    return messages.DispatchReply(
+        order.request, verdict, 0, (), b"", 0, detail
+    )
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,115 @@
+"""A fault-injecting TCP proxy for tests.
+
+It stands between two processes and delays, cuts or swallows what passes, in
+one direction or both.  Faults are set over a small control listener.
+"""
+
+from typing import Any
+from typing import Final
+
+from kingcuplever.connection import http_server
+from kingcuplever import options
+import trio
+
+_CHUNK: Final = 65536
+
+
+class Direction:
+    """Faults of one direction."""
+
+    def __init__(self) -> None:
+        """Start without faults."""
+        self.delay_s = 0.0
+        self.swallow = False
+
+
+class Proxy:
+    """Forwards one address to another.
+
+    :ivar forward: faults from the connecting to the listening end.
+    :ivar backward: faults of the other direction.
+    """
+
+    def __init__(self, listen: str, to: str) -> None:
+        """Forward ``listen`` to ``to``, both ``IP:port``."""
+        self._listen = listen
+        self._to = to
+        self._streams: set[trio.SocketStream] = set()
+        self._refusing = False
+        self.forward = Direction()
+        self.backward = Direction()
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Forward connections until cancelled."""
+        host, port = options.split_address(self._listen)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def handle(
+        self, request: http_server.HttpRequest
+    ) -> http_server.HttpResponse:
+        """Take a control request."""
+        wanted = http_server.parse_json(request.body)
+        await self.control(wanted)
+        return http_server.json_response({})
+
+    async def control(self, wanted: dict[str, Any]) -> None:
+        """Set faults.
+
+        ``refuse`` takes no new connection, ``cut`` ends those that are
+        there, ``forward`` and ``backward`` hold ``delay_s`` and ``swallow``.
+        """
+        self._refusing = wanted.get("refuse", self._refusing)
+        for name, direction in (
+            ("forward", self.forward),
+            ("backward", self.backward),
+        ):
+            faults = wanted.get(name, {})
+            direction.delay_s = faults.get("delay_s", direction.delay_s)
+            direction.swallow = faults.get("swallow", direction.swallow)
+        if wanted.get("cut", False):
+            for stream in list(self._streams):
+                await trio.aclose_forcefully(stream)
+
+    async def _serve(self, near: trio.SocketStream) -> None:
+        if self._refusing:
+            return
+        host, port = options.split_address(self._to)
+        try:
+            far = await trio.open_tcp_stream(host, port)
+        except OSError:
+            return
+        self._streams |= {near, far}
+        async with far:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    self._pump, near, far, self.forward, nursery
+                )
+                nursery.start_soon(
+                    self._pump, far, near, self.backward, nursery
+                )
+        self._streams -= {near, far}
+
+    async def _pump(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        direction: Direction,
+        nursery: trio.Nursery,
+    ) -> None:
+        try:
+            while data := await source.receive_some(_CHUNK):
+                if direction.delay_s:
+                    await trio.sleep(direction.delay_s)
+                if not direction.swallow:
+                    await sink.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # Either end went away, so the other one has to go as well.
+            nursery.cancel_scope.cancel()
+            return
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/standins/target.py
@@ -0,0 +1,132 @@
+"""A stand-in for a target: an executor with slots that announces itself.
+
+Requests are echoed after a while.  The truth lists what really ran, by the
+``x-run`` header that the callers of tests and demo send.
+"""
+
+import json
+import random
+import time
+from typing import Any
+from typing import Final
+
+from kingcuplever.connection import http_client
+from kingcuplever.connection import http_server
+from kingcuplever import errors
+import trio
+
+_PERIOD_S: Final = 0.5
+
+
+class TargetStandin:
+    """One target.
+
+    :ivar work_s: how long a request takes, unless it says so itself.
+    :ivar jitter: share by which that varies, so that answers overtake.
+    :ivar fails: whether every request fails.
+    :ivar breaks: whether answers break off half-way.
+    :ivar draining: whether it wants no new work.
+    """
+
+    def __init__(
+        self, name: str, service: str, address: str, side: str, slots: int
+    ) -> None:
+        """Start idle.
+
+        :param address: where it takes requests.
+        :param side: where its side takes announcements.
+        """
+        self.name = name
+        self.work_s = 0.01
+        self.jitter = 0.0
+        self.fails = False
+        self.breaks = False
+        self.draining = False
+        self._service = service
+        self._address = address
+        self._side = side
+        self._slots = trio.Semaphore(slots)
+        self._slot_count = slots
+        self._random = random.Random(name)
+        self._runs: list[dict[str, Any]] = []
+        self._drained_at = 0.0
+        self._announce_now = trio.Event()
+
+    async def run(self) -> None:
+        """Announce itself until cancelled."""
+        async with http_client.HttpClient(self._side, 1.0) as client:
+            while True:
+                await self._announce(client)
+                with trio.move_on_after(_PERIOD_S):
+                    await self._announce_now.wait()
+                self._announce_now = trio.Event()
+
+    async def handle(
+        self, request: http_server.HttpRequest
+    ) -> http_server.HttpResponse:
+        """Answer one HTTP request."""
+        if request.path == "/truth":
+            return http_server.json_response(
+                {"runs": self._runs, "drained_at": self._drained_at}
+            )
+        if request.path == "/control":
+            return self._control(http_server.parse_json(request.body))
+        if not request.path.startswith("/requests/"):
+            raise errors.KingcupleverError("?", errors.Code.NOT_FOUND)
+        async with self._slots:
+            return await self._run(request)
+
+    async def _announce(self, client: http_client.HttpClient) -> None:
+        announcement = {
+            "target": self.name,
+            "service_name": self._service,
+            "address": self._address,
+            "slots": self._slot_count,
+            "period_ms": int(_PERIOD_S * 1000),
+            "draining": self.draining,
+        }
+        try:
+            await client.call_json("POST", "/v1/announcements", announcement)
+        except errors.PlatformFailed:
+            # The side is not there yet, or is being replaced.
+            return
+
+    def _control(self, wanted: dict[str, Any]) -> http_server.HttpResponse:
+        self.work_s = wanted.get("work_s", self.work_s)
+        self.jitter = wanted.get("jitter", self.jitter)
+        self.fails = wanted.get("fails", self.fails)
+        self.breaks = wanted.get("breaks", self.breaks)
+        if wanted.get("draining", self.draining) and not self.draining:
+            self._drained_at = time.time()
+        self.draining = wanted.get("draining", self.draining)
+        self._announce_now.set()
+        return http_server.json_response({})
+
+    async def _run(
+        self, request: http_server.HttpRequest
+    ) -> http_server.HttpResponse:
+        run = {
+            "run": request.headers.get("x-run", ""),
+            "started_at": time.time(),
+            "ended_at": 0.0,
+        }
+        self._runs.append(run)
+        spread = 1 + self.jitter * (2 * self._random.random() - 1)
+        work_ms = request.headers.get("x-work-ms")
+        work_s = float(work_ms) / 1000 if work_ms else self.work_s * spread
+        await trio.sleep(work_s)
+        run["ended_at"] = time.time()
+        if self.breaks:
+            raise RuntimeError("the stand-in breaks its answer off")
+        if self.fails:
+            return http_server.json_response({"failed": True}, 500)
+        echo = {
+            "target": self.name,
+            "run": run["run"],
+            "body": request.body.decode("latin-1"),
+        }
+        return http_server.HttpResponse(
+            200,
+            (("content-type", "application/json"),),
+            json.dumps(echo).encode(),
+        )
