--- a/kingcuplever/command/operate.py
+++ b/kingcuplever/command/operate.py
@@ -126,10 +126,11 @@
     url = f"http://{parsed.entry}{path}"
     content = b"" if body is None else json.dumps(body).encode()
     headers = [
-        ("Authorization", f"Bearer {parsed.token}"),
         ("Content-Length", str(len(content))),
         ("Host", parsed.entry),
     ]
+    if parsed.token:
+        headers.append(("Authorization", f"Bearer {parsed.token}"))
     timeout = {"connect": _TIMEOUT_S, "read": _TIMEOUT_S}
     try:
         response = httpcore.request(
--- a/kingcuplever/process/owner.py
+++ b/kingcuplever/process/owner.py
@@ -6,6 +6,7 @@
 :meth:`Owner.lose`.
 """
 
+import math
 from typing import Final
 from typing import NamedTuple
 
@@ -475,7 +476,9 @@
         self._reclaims.setdefault(name, moment.now)
         self.waiting[name] = choice.reason
         workers = frozenset(slot.worker for slot in choice.slots)
-        ready_at = moment.now + self._config.reclaim_ms / 1000
+        # The evicted would be the first to come back, however short they
+        # are, so nobody else may use these workers until the job has them.
+        ready_at = -math.inf
         self._queue.keeps[name] = queueing.Keep(name, workers, ready_at)
         cause = f"{job.spec.account} reclaims its cells for {name}"
         self._evict(choice.victims, "reclaim", cause, moment)
--- a/kingcuplever/process/replay.py
+++ b/kingcuplever/process/replay.py
@@ -40,7 +40,7 @@
 
 
 def skip(schedule: state.Schedule, offset: int, text: str) -> None:
-    """Pass over a record that can't be read; it is in the digest all the same."""
+    """Pass over a record that can't be read; the digest has it."""
     schedule.offset = offset + 1
     schedule.digest = records.digest(schedule.digest, text)
 
--- a/kingcuplever/request/headers.py
+++ b/kingcuplever/request/headers.py
@@ -19,6 +19,7 @@
     {
         "connection",
         "content-length",
+        "date",
         "host",
         "keep-alive",
         "te",
--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,185 @@
+"""Callers for the demo, the tests and the measurements.
+
+Each request carries an ``x-run`` header, so that what a caller was told can
+be compared with what the targets really ran.
+"""
+
+from collections.abc import Sequence
+import json
+import time
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+import httpcore
+import trio
+
+# What a caller saw of a request that brought no HTTP answer.
+NO_ANSWER = 0
+
+
+class Call(NamedTuple):
+    """One request as its caller wants it.
+
+    :ivar run: names the request in the targets' truth.
+    :ivar key: idempotency key, or empty.
+    """
+
+    service: str
+    account: str
+    run: str
+    key: str = ""
+    idempotent: bool = False
+    priority: str = "normal"
+    timeout_ms: int = 10_000
+    work_ms: int = 0
+    body: bytes = b""
+
+
+class Told(NamedTuple):
+    """What a caller was told.
+
+    :ivar status: HTTP status; 0 if the connection brought none.
+    :ivar code: the product's error code, or empty.
+    :ivar run_state: ``not-run`` or ``unknown`` where a code says so.
+    :ivar whole: whether the answer is this request's own and whole.
+    """
+
+    call: Call
+    status: int
+    code: str
+    run_state: str
+    whole: bool
+    seconds: float
+
+
+class Audit(NamedTuple):
+    """What callers were told, compared with what ran.
+
+    :ivar doubled: runs that are not idempotent and ran more than once.
+    :ivar false_not_run: requests said not to have run that did.
+    :ivar lost: requests answered with success that never ran.
+    :ivar mixed: answers that were another's or not whole.
+    """
+
+    answered: int
+    not_run: int
+    unknown: int
+    no_answer: int
+    doubled: tuple[str, ...]
+    false_not_run: tuple[str, ...]
+    lost: tuple[str, ...]
+    mixed: tuple[str, ...]
+
+    @property
+    def clean(self) -> bool:
+        """Whether every promise held."""
+        wrong = (self.doubled, self.false_not_run, self.lost, self.mixed)
+        return not any(wrong)
+
+
+def new_run() -> str:
+    """Name a request."""
+    return uuid.uuid4().hex
+
+
+async def send(
+    pool: httpcore.AsyncConnectionPool, address: str, call: Call
+) -> Told:
+    """Send a request once and note what comes back."""
+    headers = [
+        ("Host", address),
+        ("Content-Length", str(len(call.body))),
+        ("Kingcuplever-Account", call.account),
+        ("Kingcuplever-Idempotent", "true" if call.idempotent else "false"),
+        ("Kingcuplever-Priority", call.priority),
+        ("Kingcuplever-Timeout-Ms", str(call.timeout_ms)),
+        ("x-run", call.run),
+    ]
+    if call.key:
+        headers.append(("Idempotency-Key", call.key))
+    if call.work_ms:
+        headers.append(("x-work-ms", str(call.work_ms)))
+    url = f"http://{address}/v1/services/{call.service}/requests"
+    started = time.monotonic()
+    status = NO_ANSWER
+    content = b""
+    with trio.move_on_after(call.timeout_ms / 1000 + 2):
+        try:
+            response = await pool.request(
+                "POST", url, headers=headers, content=call.body
+            )
+            status, content = response.status, response.content
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            status = NO_ANSWER
+    seconds = time.monotonic() - started
+    return _told(call, status, content, seconds)
+
+
+async def send_until_answered(
+    pool: httpcore.AsyncConnectionPool,
+    addresses: Sequence[str],
+    call: Call,
+    sendings: int = 3,
+) -> list[Told]:
+    """Send a keyed request again, through the next entry, while unanswered.
+
+    :return: what each sending was told.
+    """
+    told: list[Told] = []
+    for number in range(sendings):
+        address = addresses[number % len(addresses)]
+        told.append(await send(pool, address, call))
+        if told[-1].status == 200:
+            break
+        await trio.sleep(0.2)
+    return told
+
+
+def audit(told: Sequence[Told], truth: Sequence[dict[str, Any]]) -> Audit:
+    """Compare what callers were told with what the targets ran."""
+    ran: dict[str, int] = {}
+    for row in truth:
+        ran[row["run"]] = ran.get(row["run"], 0) + 1
+    by_run: dict[str, list[Told]] = {}
+    for item in told:
+        by_run.setdefault(item.call.run, []).append(item)
+    doubled = []
+    false_not_run = []
+    lost = []
+    for run, sendings in by_run.items():
+        count = ran.get(run, 0)
+        call = sendings[0].call
+        if count > 1 and not call.idempotent:
+            doubled.append(run)
+        last = sendings[-1]
+        if last.run_state == "not-run" and count:
+            false_not_run.append(run)
+        if any(item.status == 200 for item in sendings) and not count:
+            lost.append(run)
+    answered = [item for item in told if item.status == 200]
+    return Audit(
+        len(answered),
+        sum(item.run_state == "not-run" for item in told),
+        sum(item.run_state == "unknown" for item in told),
+        sum(item.status == NO_ANSWER for item in told),
+        tuple(doubled),
+        tuple(false_not_run),
+        tuple(lost),
+        tuple(item.call.run for item in answered if not item.whole),
+    )
+
+
+def _told(call: Call, status: int, content: bytes, seconds: float) -> Told:
+    try:
+        document = json.loads(content) if content else {}
+    except ValueError:
+        document = {}
+    if not isinstance(document, dict):
+        document = {}
+    whole = document.get("run") == call.run and document.get(
+        "body"
+    ) == call.body.decode("latin-1")
+    code = document.get("code", "")
+    run_state = document.get("run", "") if code else ""
+    return Told(call, status, code, run_state, whole, seconds)
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,84 @@
+"""Makes settings files of any size on free addresses, for tests and bench."""
+
+import pathlib
+from typing import Final
+from typing import NamedTuple
+
+from standins import fleet
+
+TOKEN: Final = "operator-token"
+# Shorter than a deployment's, so that failures are seen sooner.
+_TIMING: Final = {
+    "heartbeat_ms": 150,
+    "silence_ms": 900,
+    "owner_lease_ms": 1200,
+    "task_lease_ms": 1500,
+    "reserve_ms": 800,
+    "key_horizon_ms": 60_000,
+    "drain_ms": 10_000,
+}
+
+
+class Shape(NamedTuple):
+    """How large a deployment is.
+
+    :ivar data_centres: sides in each data centre, by its name.
+    :ivar entries: data centre of each entry.
+    """
+
+    data_centres: dict[str, int]
+    entries: tuple[str, ...]
+
+
+def write(
+    folder: str,
+    shape: Shape,
+    *,
+    name: str = "fleet.toml",
+    log: str = "",
+    timing: dict[str, int] | None = None,
+) -> str:
+    """Write a settings file; give its path."""
+    lines = [
+        'deployment = "test"',
+        'region = "here"',
+        "[log]",
+        f'address = "{log or fleet.free_address()}"',
+        "timeout_ms = 1000",
+        "[timing]",
+        *(f"{k} = {v}" for k, v in (_TIMING | (timing or {})).items()),
+        "[operator_tokens]",
+        f'rania = "{TOKEN}"',
+    ]
+    for number, place in enumerate(shape.entries, 1):
+        others = [other for other in shape.data_centres if other != place]
+        schedules = ", ".join(f'"{other}"' for other in [place, *others])
+        lines += [
+            f"[entry.e{number}]",
+            f'data_centre = "{place}"',
+            f'callers = "{fleet.free_address()}"',
+            f'operators = "{fleet.free_address()}"',
+            f'peers = "{fleet.free_address()}"',
+            f"schedules = [{schedules}]",
+        ]
+    for place, count in shape.data_centres.items():
+        for number in range(1, count + 1):
+            lines += [
+                f"[side.{place}-w{number}]",
+                f'data_centre = "{place}"',
+                f'announcements = "{fleet.free_address()}"',
+                f'worker = "{fleet.free_address()}"',
+                f'rack = "{place}-r{(number - 1) // 3 + 1}"',
+            ]
+    path = pathlib.Path(folder) / name
+    path.write_text("\n".join(lines) + "\n", encoding="utf-8")
+    return str(path)
+
+
+def with_address(path: str, old: str, new: str, name: str) -> str:
+    """Copy a settings file with one address replaced; give its path."""
+    source = pathlib.Path(path)
+    text = source.read_text(encoding="utf-8").replace(old, new)
+    target = source.with_name(name)
+    target.write_text(text, encoding="utf-8")
+    return str(target)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -27,13 +28,23 @@
 _READY_S: Final = 30.0
 _POLL_S: Final = 0.05
 _STOP_S: Final = 20.0
+# Below the ports that the kernel gives to outgoing connections; processes
+# that run at once begin at different places.
+_FIRST_PORT: Final = 19_000
+_PORT_COUNT: Final = 13_000
+_PORTS: Final = itertools.count(os.getpid() * 613)
 
 
 def free_port() -> int:
     """Give a TCP port of the loopback that nobody uses."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    while True:
+        port = _FIRST_PORT + next(_PORTS) % _PORT_COUNT
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def free_address() -> str:
@@ -65,8 +76,8 @@
     timeout_s: float = 20.0,
 ) -> httpcore.Response:
     """Make one HTTP call on a connection of its own."""
-    pairs = {"Host": address, "Content-Length": str(len(body))}
-    pairs |= headers or {}
+    pairs = [("Host", address), ("Content-Length", str(len(body)))]
+    pairs += (headers or {}).items()
     limits = {"connect": timeout_s, "read": timeout_s}
     return httpcore.request(
         method,
@@ -286,9 +297,7 @@
 def plan_for(
     fleet: options.FleetOptions, service: str, slots: int = 8
 ) -> platform.Plan:
-    """Give the stand-ins for a settings file: a log, and beside each side
-    a worker and a target of the service.
-    """
+    """Give a log, and beside each side a worker and a target."""
     workers = tuple(
         platform.WorkerPlan(name, side.worker)
         for name, side in fleet.side.items()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,143 @@
+"""Fixtures that tests share: fleets of real processes, and helpers."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+
+import hypothesis
+from kingcuplever import options
+import pytest
+from standins import deployment
+from standins import fleet as fleets
+
+hypothesis.settings.register_profile(
+    "fixed", derandomize=True, deadline=None, database=None
+)
+hypothesis.settings.load_profile("fixed")
+
+SERVICE = "desk"
+
+StartFleet = Callable[..., fleets.Fleet]
+
+
+@pytest.fixture
+def start_fleet(tmp_path: Any) -> Iterator[StartFleet]:
+    """Start fleets that end with the test."""
+    with contextlib.ExitStack() as stack:
+
+        def start(
+            sides: int = 3, entries: int = 2, **timing: int
+        ) -> fleets.Fleet:
+            shape = deployment.Shape({"jerash": sides}, ("jerash",) * entries)
+            settings = deployment.write(str(tmp_path), shape, timing=timing)
+            plan = fleets.plan_for(options.load(settings), SERVICE)
+            fleet = fleets.Fleet(settings, plan, str(tmp_path))
+            stack.enter_context(fleet)
+            wait_for_workers(fleet, sides)
+            return fleet
+
+        yield start
+
+
+@pytest.fixture
+def fleet(start_fleet: StartFleet) -> fleets.Fleet:
+    """Give two entries and three sides in one data centre."""
+    return start_fleet()
+
+
+def wait_for_workers(fleet: fleets.Fleet, count: int, entry: str = "") -> None:
+    """Wait until so many workers are up."""
+
+    def all_up() -> bool:
+        rows = fleet.rows("workers", entry)
+        return sum(row["status"] == "up" for row in rows) == count
+
+    fleets.wait_until(all_up, f"{count} workers up")
+
+
+def set_account(
+    fleet: fleets.Fleet,
+    account: str,
+    guarantees: tuple[tuple[str, int], ...] = (),
+    **limits: Any,
+) -> None:
+    """State and confirm an account."""
+    spec = {
+        "account": account,
+        "data_centre": "jerash",
+        "guarantees": [{"level": k, "cells": n} for k, n in guarantees],
+        **limits,
+    }
+    status, answer = fleet.intend({"kind": "account", "account": spec})
+    assert status == 200, answer
+
+
+def job_intent(
+    job: str,
+    account: str,
+    tasks: int = 1,
+    gpus: int = 8,
+    seconds: float = 1.0,
+    **more: Any,
+) -> dict[str, Any]:
+    """Give the intent of a job."""
+    spec = {
+        "job": job,
+        "account": account,
+        "data_centre": "jerash",
+        "tasks": tasks,
+        "shape": {"gpus": gpus, "cores": gpus * 2.0, "memory_gb": gpus * 4.0},
+        "declared_s": seconds,
+        "payload": f'{{"seconds": {seconds}}}',
+        **more,
+    }
+    return {"kind": "job", "job": spec}
+
+
+def submit(fleet: fleets.Fleet, *args: Any, **more: Any) -> None:
+    """State and confirm a job."""
+    status, answer = fleet.intend(job_intent(*args, **more))
+    assert status == 200, answer
+
+
+def wait_job(
+    fleet: fleets.Fleet, job: str, phase: str, entry: str = ""
+) -> dict[str, Any]:
+    """Wait until a job is in a phase; give its row."""
+
+    def row() -> dict[str, Any] | None:
+        status, found = fleet.operate("GET", f"/v1/jobs/{job}", entry=entry)
+        if status == 200 and found["phase"] == phase:
+            return dict(found)
+        return None
+
+    found: dict[str, Any] = fleets.wait_until(row, f"{job} {phase}")
+    return found
+
+
+def running_tasks(fleet: fleets.Fleet, job: str) -> list[dict[str, Any]]:
+    """Give the tasks of a job that really run now."""
+    return [
+        task
+        for task in fleet.task_truth()
+        if task["id"].startswith(f"{job}.") and task["phase"] == "running"
+    ]
+
+
+def call_desk(
+    fleet: fleets.Fleet,
+    entry: str,
+    run: str,
+    key: str = "",
+    body: bytes = b"stable 7",
+    **headers: str,
+) -> Any:
+    """Send one caller's request through an entry."""
+    address = fleet.options.entry[entry].callers
+    pairs = {"Kingcuplever-Account": "farrier", "x-run": run}
+    if key:
+        pairs["Idempotency-Key"] = key
+    pairs |= {name.replace("_", "-"): value for name, value in headers.items()}
+    path = f"/v1/services/{SERVICE}/requests"
+    return fleets.call(address, "POST", path, body, pairs)
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,104 @@
+"""A request, a gang and a configuration go through real processes."""
+
+import json
+
+from standins import fleet as fleets
+from tests import conftest
+
+
+def test_request_reaches_target_and_answer_returns(
+    fleet: fleets.Fleet,
+) -> None:
+    response = conftest.call_desk(fleet, "e1", "r1", body=b"x" * 5000)
+    assert response.status == 200
+    answer = json.loads(response.content)
+    assert answer["run"] == "r1"
+    assert answer["body"] == "x" * 5000
+    assert [row["run"] for row in fleet.run_truth()] == ["r1"]
+
+
+def test_resend_of_a_key_through_another_entry_runs_once(
+    fleet: fleets.Fleet,
+) -> None:
+    first = conftest.call_desk(fleet, "e1", "r1", key="k")
+    again = conftest.call_desk(fleet, "e2", "r1", key="k")
+    assert first.status == again.status == 200
+    assert first.content == again.content
+    assert len(fleet.run_truth()) == 1
+
+
+def test_gang_runs_whole_and_ends(fleet: fleets.Fleet) -> None:
+    conftest.set_account(fleet, "rosters", (("worker", 2),))
+    conftest.submit(fleet, "roster", "rosters", tasks=2, seconds=1.0)
+    row = conftest.wait_job(fleet, "roster", "ended")
+    assert row["outcome"] == "done"
+    tasks = fleet.task_truth()
+    assert sorted(task["id"] for task in tasks) == ["roster.1.0", "roster.1.1"]
+    assert {task["phase"] for task in tasks} == {"done"}
+    assert len({task["worker"] for task in tasks}) == 2
+
+
+def test_nothing_changes_before_confirmation(fleet: fleets.Fleet) -> None:
+    conftest.set_account(fleet, "rosters")
+    intent = conftest.job_intent("roster", "rosters")
+    status, plan = fleet.operate("POST", "/v1/intents", intent)
+    assert status == 200
+    assert fleet.rows("jobs") == []
+    path = f"/v1/plans/{plan['id']}/confirm"
+    first = fleet.operate("POST", path, entry="e2")
+    second = fleet.operate("POST", path)
+    assert first == second
+    conftest.wait_job(fleet, "roster", "ended")
+    assert len(fleet.task_truth()) == 1
+
+
+def test_second_of_two_conflicting_plans_is_stale(
+    fleet: fleets.Fleet,
+) -> None:
+    plans = []
+    for account in ("maps", "species"):
+        spec = {
+            "account": account,
+            "data_centre": "jerash",
+            "guarantees": [{"level": "worker", "cells": 2}],
+        }
+        intent = {"kind": "account", "account": spec}
+        status, plan = fleet.operate("POST", "/v1/intents", intent)
+        assert status == 200
+        plans.append(plan["id"])
+    first = fleet.operate("POST", f"/v1/plans/{plans[0]}/confirm")
+    second = fleet.operate("POST", f"/v1/plans/{plans[1]}/confirm", entry="e2")
+    assert first[0] == 200
+    assert second[0] == 409
+    assert second[1]["code"] == "PLAN_STALE"
+    assert "2 adjacent worker cells" in second[1]["newer_plan"]["refusal"]
+
+
+def test_configuration_reaches_every_side(fleet: fleets.Fleet) -> None:
+    wanted = {"scheduling": {"reclaim_ms": 4000}}
+    status, answer = fleet.intend({"kind": "config", "config": wanted})
+    assert status == 200
+
+    def everywhere() -> bool:
+        shown = fleet.operate("GET", "/v1/config", entry="e2")[1]
+        versions = {side["version"] for side in shown["sides"]}
+        return versions == {answer["version"]}
+
+    fleets.wait_until(everywhere, "the version is everywhere")
+
+
+def test_bad_configuration_is_refused_with_every_fault(
+    fleet: fleets.Fleet,
+) -> None:
+    wanted = {"scheduling": {"reclaim_ms": "soon"}, "limitz": {}}
+    intent = {"kind": "config", "config": wanted}
+    status, plan = fleet.operate("POST", "/v1/intents", intent)
+    assert status == 422
+    assert "config.scheduling.reclaim_ms is 'soon'" in plan["refusal"]
+    assert "config.limitz is unknown" in plan["refusal"]
+
+
+def test_processes_drain_and_exit_with_0(fleet: fleets.Fleet) -> None:
+    assert fleet.stop("jerash-w1") == 0
+    assert fleet.stop("e2") == 0
+    assert conftest.call_desk(fleet, "e1", "r1").status == 200
