--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, and the small emulator behind them."""
--- a/kingcuplever/process/data_centre.py
+++ b/kingcuplever/process/data_centre.py
@@ -306,6 +306,7 @@
             heartbeat.incarnation,
             heartbeat.sequence,
             heartbeat.tasks,
+            heartbeat.epoch,
         )
         self._owner.report(report, heartbeat.worker, moment)
         granted = Granted(0, (), ())
--- a/kingcuplever/process/gangs.py
+++ b/kingcuplever/process/gangs.py
@@ -43,7 +43,9 @@
 class Report(NamedTuple):
     """What a side said about its worker, in a heartbeat or an answer.
 
-    :ivar whole_tasks: every task that the side holds.
+    :ivar tasks: every task that the side holds.
+    :ivar epoch: the highest epoch that the side has obeyed; reservations
+        that it reports were made in that one.
     """
 
     side: str
@@ -51,6 +53,7 @@
     incarnation: int
     sequence: int
     tasks: tuple[messages.TaskState, ...]
+    epoch: int
 
 
 class SideView:
@@ -63,6 +66,7 @@
         """Take the first report."""
         self.incarnation = report.incarnation
         self.sequence = report.sequence
+        self.epoch = report.epoch
         self.heard_at = now
         self.tasks: dict[Key, dict[int, messages.TaskState]] = {}
 
@@ -75,6 +79,7 @@
         """Take a report in."""
         self.incarnation = report.incarnation
         self.sequence = report.sequence
+        self.epoch = report.epoch
         self.heard_at = now
         self.tasks = {}
         for task in report.tasks:
@@ -348,7 +353,9 @@
         tasks = view.tasks.get(run.key, {})
         self._note_progress(run, tasks)
         if run.stage is Stage.RESERVING:
-            self._reconcile_reserving(run, worker, tasks, now)
+            # A past owner may have used the same number for an attempt.
+            if view.epoch == self.epoch:
+                self._reconcile_reserving(run, worker, tasks, now)
         elif run.stage is Stage.RUNNING:
             self._reconcile_running(run, worker, tasks, now)
         elif run.stage in (Stage.STOPPING, Stage.RELEASING):
--- a/kingcuplever/process/owner.py
+++ b/kingcuplever/process/owner.py
@@ -68,6 +68,7 @@
         self._gained_at = 0.0
         self._dirty = True
         self._not_before: dict[str, float] = {}
+        self._tried: dict[str, int] = {}
         self._shunned: dict[str, float] = {}
         self._worker_appends: dict[str, records.WorkerStatus] = {}
         self._reclaims: dict[str, float] = {}
@@ -126,12 +127,14 @@
             self._dirty = True
         if isinstance(body, records.Ended) and counted:
             self._learn(body, record.time_ms)
+            self._tried.pop(body.job, None)
         if not self._owning:
             return
         if isinstance(body, records.WorkerChange):
             self._worker_appends.pop(body.worker.worker, None)
         elif isinstance(body, records.Commit):
-            self._applied_commit(body, counted, moment)
+            if record.epoch == self._gangs.epoch:
+                self._applied_commit(body, counted, moment)
         elif isinstance(body, records.Vacate) and counted:
             self._applied_vacate(body, moment)
         elif isinstance(body, records.Ended):
@@ -171,6 +174,7 @@
                 reply.incarnation,
                 reply.sequence,
                 reply.tasks,
+                reply.epoch,
             ),
             moment.now,
         )
@@ -229,12 +233,12 @@
         self, body: records.Commit, counted: bool, moment: Moment
     ) -> None:
         run = self._gangs.runs.get((body.job, body.attempt))
-        if run is None or run.stage is not gangs.Stage.COMMITTING:
+        if run is None:
             return
         if counted:
             self._gangs.committed(run.key, moment.now)
             self._placed(run, moment)
-        else:
+        elif run.stage is gangs.Stage.COMMITTING:
             reason = "the job changed meanwhile"
             self._gangs.abort(run.key, reason, "", moment.now)
 
@@ -456,15 +460,19 @@
     ) -> None:
         self.waiting.pop(job.spec.job, None)
         self._queue.drop(job.spec.job)
+        # A number is tried once, so that a late order of a round that came
+        # to nothing can't be taken for one of the next.
+        attempt = max(job.attempt, self._tried.get(job.spec.job, 0)) + 1
+        self._tried[job.spec.job] = attempt
         commit = records.Commit(
             job.spec.job,
-            job.attempt + 1,
+            attempt,
             choice.slots,
             choice.borrowed,
             choice.rebinds,
             choice.reason,
         )
-        run = gangs.Run(job.spec, job.attempt + 1, commit, job.progress)
+        run = gangs.Run(job.spec, attempt, commit, job.progress)
         gangs.hold_run(self._schedule.ledger, run)
         self._gangs.begin(run, moment.now)
 
--- a/kingcuplever/process/replay.py
+++ b/kingcuplever/process/replay.py
@@ -185,7 +185,7 @@
     job = schedule.jobs.get(body.job)
     if job is None or job.phase != "queued" or job.stop_wanted:
         return False
-    if body.attempt != job.attempt + 1:
+    if body.attempt <= job.attempt:
         return False
     for rebind in body.rebinds:
         _apply_rebind(schedule, rebind)
--- a/kingcuplever/process/tasks.py
+++ b/kingcuplever/process/tasks.py
@@ -106,7 +106,7 @@
         self.shape: messages.WorkerState | None = None
         self.commands: list[TaskCommand] = []
         self._tasks: dict[str, _Task] = {}
-        self._stopped: dict[tuple[str, int], None] = {}
+        self._stopped: dict[tuple[int, str, int], None] = {}
         self._sent_at: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
@@ -139,14 +139,17 @@
             return Answer(False, f"epoch {order.epoch} is past")
         if self.shape is None:
             return Answer(False, "the worker has not been heard")
-        if (order.job, order.attempt) in self._stopped:
+        if (order.epoch, order.job, order.attempt) in self._stopped:
             return Answer(False, "the attempt was stopped")
         added: list[str] = []
         for task in order.tasks:
             deadline = now + order.ttl_ms / 1000
             local = _Task(order.job, order.attempt, task, deadline)
-            if local.name in self._tasks:
+            known = self._tasks.get(local.name)
+            if known is not None and known.phase == messages.RESERVED:
                 continue
+            if known is not None and known.phase == messages.RUNNING:
+                return Answer(False, "the attempt runs already")
             trouble = self._does_not_fit(task)
             if trouble:
                 for name in added:
@@ -182,7 +185,7 @@
         """Stop an attempt, or release its reservation."""
         if not self._obey(order.epoch):
             return Answer(False, f"epoch {order.epoch} is past")
-        self._stopped[(order.job, order.attempt)] = None
+        self._stopped[(order.epoch, order.job, order.attempt)] = None
         if len(self._stopped) > _ENDED_KEPT:
             del self._stopped[next(iter(self._stopped))]
         for task in self._of(order.job, order.attempt):
@@ -281,9 +284,17 @@
     def _obey(self, epoch: int) -> bool:
         if epoch < self.epoch:
             return False
+        if epoch > self.epoch:
+            self._drop_reservations()
         self.epoch = epoch
         return True
 
+    def _drop_reservations(self) -> None:
+        """Release what a past owner reserved and did not start."""
+        for task in self._tasks.values():
+            if task.phase == messages.RESERVED:
+                task.end(messages.STOPPED, "another owner decides")
+
     def _of(self, job: str, attempt: int) -> list[_Task]:
         return [
             task
