--- a/kingcuplever/process/chooser.py
+++ b/kingcuplever/process/chooser.py
@@ -35,21 +35,25 @@
 
 
 def choose(
-    schedule: state.Schedule, job: state.Job, avoid: frozenset[str]
+    schedule: state.Schedule,
+    job: state.Job,
+    kept: frozenset[str],
+    shun: frozenset[str],
 ) -> Choice | None:
     """Choose a place for a job.
 
-    :param avoid: workers that are kept for other jobs; a guarantee does not
+    :param kept: workers that are kept for other jobs; a guarantee does not
         heed them.
+    :param shun: workers where the job should not go at all.
     """
     account = schedule.accounts[job.spec.account]
     choice = None
     if account.bound and job.spec.shape.gpus:
-        choice = _choose_guaranteed(schedule, account, job)
+        choice = _choose_guaranteed(schedule, account, job, shun)
     if choice is None:
-        choice = _choose_borrowed(schedule, job, avoid)
+        choice = _choose_borrowed(schedule, job, kept | shun)
     if choice is None and account.bound and job.spec.shape.gpus:
-        choice = _choose_reclaim(schedule, account, job)
+        choice = _choose_reclaim(schedule, account, job, shun)
     return choice
 
 
@@ -93,10 +97,13 @@
 
 
 def _choose_guaranteed(
-    schedule: state.Schedule, account: state.Account, job: state.Job
+    schedule: state.Schedule,
+    account: state.Account,
+    job: state.Job,
+    shun: frozenset[str],
 ) -> Choice | None:
     rooms = _own_rooms(schedule, account, job.spec.shape)
-    gang = placement.Gang(job.spec.tasks, job.spec.shape)
+    gang = placement.Gang(job.spec.tasks, job.spec.shape, shun)
     name = account.spec.account
 
     def own_free(room: ledgers.WorkerRoom) -> int:
@@ -105,7 +112,7 @@
     slots = placement.place_within(rooms, gang, own_free)
     if slots is not None:
         return Choice(slots, False, reason="own guaranteed cells")
-    return _choose_swap(schedule, account, job)
+    return _choose_swap(schedule, account, job, shun)
 
 
 def _own_rooms(
@@ -135,7 +142,10 @@
 
 
 def _choose_swap(
-    schedule: state.Schedule, account: state.Account, job: state.Job
+    schedule: state.Schedule,
+    account: state.Account,
+    job: state.Job,
+    shun: frozenset[str],
 ) -> Choice | None:
     """Move one of the account's shapes to free cells and place it there."""
     ledger = schedule.ledger
@@ -144,7 +154,7 @@
             continue
         gpus = bindings.cell_gpus(ledger, bound.guarantee.level)
         cell_shape = shapes.TaskShape(gpus, 0.0, 0.0)
-        gang = placement.Gang(bound.guarantee.cells, cell_shape)
+        gang = placement.Gang(bound.guarantee.cells, cell_shape, shun)
         free = placement.place(ledger, gang, placement.Space.OPEN)
         if free is None:
             continue
@@ -205,7 +215,10 @@
 
 
 def _choose_reclaim(
-    schedule: state.Schedule, account: state.Account, job: state.Job
+    schedule: state.Schedule,
+    account: state.Account,
+    job: state.Job,
+    shun: frozenset[str],
 ) -> Choice | None:
     name = account.spec.account
     rooms = _own_rooms(schedule, account, job.spec.shape)
@@ -214,8 +227,9 @@
         & ~_own_use(schedule, room, name)
         for room in rooms
     }
-    gang = placement.Gang(job.spec.tasks, job.spec.shape._replace(cores=0.0))
-    gang = gang._replace(shape=gang.shape._replace(memory_gb=0.0))
+    # Evicting the borrowers frees the cells' share of cores and memory.
+    shape = job.spec.shape._replace(cores=0.0, memory_gb=0.0)
+    gang = placement.Gang(job.spec.tasks, shape, shun)
     slots = placement.place_within(
         rooms, gang, lambda room: masks[room.shape.worker]
     )
--- a/kingcuplever/process/gangs.py
+++ b/kingcuplever/process/gangs.py
@@ -401,7 +401,7 @@
             if task.phase == messages.FAILED:
                 self.notices.append(TaskFailed(worker, run.spec.job))
                 cause = f"failed on {worker}: {task.detail}"
-                self._vacate(run, "failed", cause, now)
+                self._vacate(run, "failed", cause, now, worker)
                 return
             if task.phase == messages.STOPPED:
                 cause = f"stopped on {worker}: {task.detail}"
@@ -483,9 +483,16 @@
         run.proof = "lease ended"
         self._end(run, "vacated", now)
 
-    def _vacate(self, run: Run, reason: str, cause: str, now: float) -> None:
+    def _vacate(
+        self,
+        run: Run,
+        reason: str,
+        cause: str,
+        now: float,
+        worker: str = "",
+    ) -> None:
         run.enter(Stage.ENDING, now)
-        body = records.Vacate(*run.key, reason, cause)
+        body = records.Vacate(*run.key, reason, cause, worker)
         self.commands.append(commands.Append(body))
         self._say(logs.Part.GANG, f"Stopping {run.name}: {cause}.")
 
--- a/kingcuplever/process/owner.py
+++ b/kingcuplever/process/owner.py
@@ -30,6 +30,8 @@
 _BEGIN_AT_MOST: Final = 200
 # A job whose reservation came to nothing waits so long.
 _RETRY_S: Final = 0.5
+# A job may fail so many times as often as it may fail on other workers.
+_FAILURES_FACTOR: Final = 3
 # A worker that refused or was silent is left out so long.
 _SHUN_S: Final = 2.0
 
@@ -268,8 +270,15 @@
         )
 
     def _is_final(self, job: state.Job) -> bool:
-        """Tell whether a vacated job is over."""
-        return job.stop_wanted or job.failures >= self._config.job_failures
+        """Tell whether a vacated job is over.
+
+        A job is given up once it failed on several workers; where it can
+        run on few only, once it failed several times more.
+        """
+        most = self._config.job_failures
+        failed = len(job.failed_on) >= most
+        failed |= job.failures >= most * _FAILURES_FACTOR
+        return job.stop_wanted or failed
 
     def _take_notices(self, moment: Moment) -> None:
         notices = self._gangs.notices
@@ -416,14 +425,17 @@
         if limit:
             self.waiting[spec.job] = limit
             return False
-        avoid = self._queue.avoid_for(job, moment.now)
-        avoid |= frozenset(self._shunned)
+        kept = self._queue.avoid_for(job, moment.now)
+        shun = frozenset(self._shunned) | frozenset(job.failed_on)
         claimant = spec.account if account.bound else ""
-        signature = (claimant, spec.tasks, spec.shape, avoid)
+        signature = (claimant, spec.tasks, spec.shape, kept, shun)
         if signature in failed:
             self.waiting[spec.job] = "no room for its shape"
             return False
-        choice = chooser.choose(self._schedule, job, avoid)
+        choice = chooser.choose(self._schedule, job, kept, shun)
+        if choice is None and job.failed_on:
+            # Better once more on a worker where it failed than never.
+            choice = chooser.choose(self._schedule, job, kept, frozenset())
         if choice is None:
             failed.add(signature)
             self._wait(job, moment)
--- a/kingcuplever/process/replay.py
+++ b/kingcuplever/process/replay.py
@@ -249,7 +249,10 @@
     job.phase = "stopping"
     job.vacate_reason = body.reason
     job.vacate_cause = body.cause
-    job.failures += body.reason == "failed"
+    if body.reason in ("failed", "usage"):
+        job.failures += 1
+    if body.worker and body.worker not in job.failed_on:
+        job.failed_on += (body.worker,)
     job.evictions += body.reason in ("reclaim", "move")
     return True
 
--- a/kingcuplever/process/snapshots.py
+++ b/kingcuplever/process/snapshots.py
@@ -41,6 +41,7 @@
 class _JobPart(NamedTuple):
     spec: shapes.JobSpec
     slots: tuple[shapes.Slot, ...]
+    failed_on: tuple[str, ...]
     facts: dict[str, Any]
 
 
@@ -109,7 +110,7 @@
 
 def _write_job(job: state.Job) -> _JobPart:
     facts = {name: getattr(job, name) for name in _JOB_FIELDS}
-    return _JobPart(job.spec, job.slots, facts)
+    return _JobPart(job.spec, job.slots, job.failed_on, facts)
 
 
 def _read_account(schedule: state.Schedule, part: _AccountPart) -> None:
@@ -126,6 +127,7 @@
     for name in _JOB_FIELDS:
         setattr(job, name, part.facts[name])
     job.slots = part.slots
+    job.failed_on = part.failed_on
     schedule.jobs[part.spec.job] = job
     if job.phase in ("running", "stopping"):
         replay.hold_job(schedule.ledger, job)
--- a/kingcuplever/process/state.py
+++ b/kingcuplever/process/state.py
@@ -47,6 +47,8 @@
     :ivar order: offset of the record that accepted it.
     :ivar attempt: number of the present or last attempt; 0 before any.
     :ivar progress: seconds of work that a checkpoint holds.
+    :ivar failures: attempts that failed.
+    :ivar failed_on: workers on which an attempt failed.
     :ivar outcome: ``done``, ``failed`` or ``stopped`` once ended.
     :ivar started_ms: wall clock of the first commit, 0 before it.
     :ivar committed_ms: wall clock of the present attempt's commit.
@@ -65,6 +67,7 @@
         self.borrowed = False
         self.progress = 0.0
         self.failures = 0
+        self.failed_on: tuple[str, ...] = ()
         self.evictions = 0
         self.vacate_reason = ""
         self.vacate_cause = ""
--- a/kingcuplever/records.py
+++ b/kingcuplever/records.py
@@ -119,12 +119,14 @@
     :ivar reason: ``reclaim``, ``move``, ``operator``, ``broken``,
         ``failed`` or ``usage``.
     :ivar cause: what it is done for, in words.
+    :ivar worker: where it failed, or empty.
     """
 
     job: str
     attempt: int
     reason: str
     cause: str
+    worker: str = ""
 
 
 class Ended(NamedTuple):
