Look at the queue again when a released reservation is surely gone

Cause: a random history (crash, lost order) left a gang queued for ever: the owner was told at the abort, while the run still counted as busy, and nothing marked the queue when the run ended. Change: the abort only starts the back-off; a second notice, once every side released or the reservations lapsed, gives the room back and marks the queue. Conclusion: room is reused only after the release is known, as for stops.

--- a/kingcuplever/process/gangs.py
+++ b/kingcuplever/process/gangs.py
@@ -156,20 +156,24 @@
     job: str
 
 
-class Released(NamedTuple):
-    """A reservation came to nothing; its room may be used again.
+class GaveUp(NamedTuple):
+    """A reservation came to nothing.
 
-    :ivar reason: why.
-    :ivar worker: the worker that refused, or empty.
+    :ivar worker: the worker that refused or was silent, or empty.
     """
 
     job: str
-    attempt: int
-    reason: str
     worker: str
 
 
-Notice = TaskFailed | TaskDone | Released
+class Released(NamedTuple):
+    """A reservation is surely gone; its room may be used again."""
+
+    job: str
+    attempt: int
+
+
+Notice = TaskFailed | TaskDone | GaveUp | Released
 
 
 class Gangs:
@@ -238,7 +242,7 @@
         run.enter(Stage.RELEASING, now)
         text = f"Gave up the reservation of {run.name}: {reason}."
         self._say(logs.Part.GANG, text)
-        self.notices.append(Released(*run.key, reason, worker))
+        self.notices.append(GaveUp(run.spec.job, worker))
         for member in run.members:
             self._reconcile(run, member, now)
 
@@ -298,7 +302,7 @@
                 self._check_lapse(run, now)
             elif run.stage is Stage.RELEASING:
                 if now - run.since > self._reserve_ttl_ms / 1000:
-                    self.ended(run.key)
+                    self._release(run)
 
     def leases(
         self, worker: str, now: float
@@ -433,10 +437,14 @@
         if len(run.stopped) < len(run.members):
             return
         if run.stage is Stage.RELEASING:
-            self.ended(run.key)
+            self._release(run)
         else:
             self._end(run, "vacated", now)
 
+    def _release(self, run: Run) -> None:
+        self.ended(run.key)
+        self.notices.append(Released(*run.key))
+
     def _go(self, run: Run, worker: str, now: float) -> None:
         until = self._shared_until(run)
         if until is None or until <= now:
--- a/kingcuplever/process/owner.py
+++ b/kingcuplever/process/owner.py
@@ -32,6 +32,11 @@
 _RETRY_S: Final = 0.5
 # A job may fail so many times as often as it may fail on other workers.
 _FAILURES_FACTOR: Final = 3
+_UNCOMMITTED: Final = (
+    gangs.Stage.RESERVING,
+    gangs.Stage.COMMITTING,
+    gangs.Stage.RELEASING,
+)
 # A worker that refused or was silent is left out so long.
 _SHUN_S: Final = 2.0
 
@@ -111,7 +116,7 @@
         """Stop deciding; another entry owns the epoch."""
         self._owning = False
         for run in self._gangs.runs.values():
-            if run.stage in (gangs.Stage.RESERVING, gangs.Stage.COMMITTING):
+            if run.stage in _UNCOMMITTED:
                 self._schedule.ledger.release(*run.key)
         self._gangs.drop_runs()
         self._queue.keeps.clear()
@@ -288,8 +293,11 @@
                 self._health.succeeded(notice.worker)
             elif isinstance(notice, gangs.TaskFailed):
                 self._task_failed(notice, moment)
+            elif isinstance(notice, gangs.GaveUp):
+                self._gave_up(notice, moment)
             else:
-                self._released(notice, moment)
+                self._schedule.ledger.release(notice.job, notice.attempt)
+                self._dirty = True
 
     def _task_failed(self, notice: gangs.TaskFailed, moment: Moment) -> None:
         worker = notice.worker
@@ -297,12 +305,10 @@
             reason = "failed task after task"
             self._change_worker(worker, "quarantined", reason)
 
-    def _released(self, notice: gangs.Released, moment: Moment) -> None:
-        self._schedule.ledger.release(notice.job, notice.attempt)
+    def _gave_up(self, notice: gangs.GaveUp, moment: Moment) -> None:
         self._not_before[notice.job] = moment.now + _RETRY_S
         if notice.worker:
             self._shunned[notice.worker] = moment.now + _SHUN_S
-        self._dirty = True
 
     def _note_worker(self, shape: messages.WorkerState) -> None:
         worker = shapes.WorkerShape(*shape)
@@ -455,7 +461,7 @@
         for run in self._gangs.runs.values():
             if run.spec.account != spec.account:
                 continue
-            if run.stage in (gangs.Stage.RESERVING, gangs.Stage.COMMITTING):
+            if run.stage in _UNCOMMITTED:
                 gpus = run.spec.tasks * run.spec.shape.gpus
                 pending += gpus
                 pending_team += gpus if run.spec.team == spec.team else 0
--- a/tests/test_scheduling_invariants.py
+++ b/tests/test_scheduling_invariants.py
@@ -306,3 +306,13 @@
         default=len(commits),
     )
     assert commits.index("map") < first_again
+
+
+def test_job_is_placed_again_after_its_reservation_was_released() -> None:
+    """A lost order once left the job in the queue with nobody looking."""
+    world = started()
+    lost = iter([True])
+    world.loses = lambda: next(lost, False)
+    assert world.intend(job("map", "a", 2, 8, 5.0)) == ""
+    settle(world)
+    assert world.schedule.jobs["map"].outcome == "done"
