Keep the two histories that failed as cases of the property test

Cause: a test added for the released reservation passed without the fix too: the fault needs the losses that the seeded history has, not just a crash. Change: that test goes; both histories that were found stand as explicit cases, which is as strict and can fail.

--- a/tests/test_scheduling_invariants.py
+++ b/tests/test_scheduling_invariants.py
@@ -207,7 +207,26 @@
             return
 
 
+# Both were found by chance, and failed before their faults were mended.
+STUCK_RUNNING = [
+    ("job", "a", (1, 1), 2.0),
+    ("job", "a", (1, 1), 2.0),
+    ("log down", 1.0),
+    ("takeover",),
+    ("job", "a", (1, 1), 2.0),
+]
+STUCK_QUEUED = [
+    ("crash", 0, 1.0),
+    ("job", "a", (1, 1), 2.0),
+    ("job", "a", (2, 8), 2.0),
+    ("lossy", 0.1),
+    ("wait", 5.0),
+]
+
+
 @hypothesis.settings(max_examples=60)
+@hypothesis.example(STUCK_RUNNING)
+@hypothesis.example(STUCK_QUEUED)
 @hypothesis.given(events)
 def test_promises_hold_over_random_histories(history: list[Any]) -> None:
     world = started()
@@ -306,13 +325,3 @@
         default=len(commits),
     )
     assert commits.index("map") < first_again
-
-
-def test_job_is_placed_again_after_its_reservation_was_released() -> None:
-    """A lost order once left the job in the queue with nobody looking."""
-    world = started()
-    lost = iter([True])
-    world.loses = lambda: next(lost, False)
-    assert world.intend(job("map", "a", 2, 8, 5.0)) == ""
-    settle(world)
-    assert world.schedule.jobs["map"].outcome == "done"
