Test requests under failure over real processes; mend what that found

Cause, by test: (1) a key ran twice when its side was killed: a sending that met a claim at its second witness left its own claim at the first, and the next sending followed that one. (2) At 300 percent load callers got 204 unknown outcomes: requests started that could not end in time. (3) A witness that drained or died made keyed requests unprovable. (4) Retries of refused requests used up the budget. Ruled out: the side's key table, which never admitted a key twice. Change: witnesses are made to agree, a disputed key may be joined but not run; entry and side refuse what can't be answered in time; claims go round again when a witness is gone; refused attempts need no budget; a short wait for a slot at the side.

--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -31,6 +31,8 @@
 _NETWORK_S: Final = 0.001
 _LOG_S: Final = 0.005
 _TICK_S: Final = 0.1
+# A checkpoint takes so long; the work that it saves is that of its end.
+CHECKPOINT_S: Final = 1.0
 START_MS: Final = 1_000_000_000
 
 TIMING: Final = options.TimingOptions(
@@ -401,6 +403,9 @@
         taken = side.table.commands
         side.table.commands = []
         for command in taken:
+            if isinstance(command, tasks.StopTask) and command.checkpoint_ms:
+                self._stop_later(side, command)
+                continue
             side.worker.carry_out(command, self.now)
             if isinstance(command, tasks.StartTask):
                 side.table.started(command.name, "")
@@ -409,7 +414,19 @@
         side.table.heard_worker(status, self.now)
         for command in taken:
             if isinstance(command, tasks.StopTask):
-                side.table.stopped(command.name)
+                if not command.checkpoint_ms:
+                    side.table.stopped(command.name)
+
+    def _stop_later(self, side: _Side, command: tasks.StopTask) -> None:
+        """Stop a task once its checkpoint is written."""
+
+        def stop() -> None:
+            side.worker.carry_out(command, self.now)
+            side.table.heard_worker(side.worker.status(self.now), self.now)
+            side.table.stopped(command.name)
+            self._report(side)
+
+        self.at(self.now + CHECKPOINT_S, stop)
 
     def _watch_end(self, side: _Side, name: str) -> None:
         """Send a heartbeat soon after a task is done, as sides do."""
--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -1,6 +1,7 @@
 """Measures the scheduling against the first-fit baseline."""
 
 import collections
+import functools
 import statistics
 from typing import Final
 from typing import NamedTuple
@@ -60,7 +61,9 @@
     offset_s = _prepare(world, count)
     for arrival in arrivals:
         intent = records.Intent("job", job=arrival.spec)
-        world.at(offset_s + arrival.at, lambda i=intent: _must(world, i))
+        world.at(
+            offset_s + arrival.at, functools.partial(_must, world, intent)
+        )
 
     def sample() -> None:
         for size, share in fragmentation.shares(world.schedule.ledger).items():
@@ -130,7 +133,9 @@
         arrivals = workload.arrivals(workload.SADDLEBROOK, count, until, 1)
         for arrival in arrivals:
             intent = records.Intent("job", job=arrival.spec)
-            world.at(offset_s + arrival.at, lambda i=intent: _must(world, i))
+            world.at(
+                offset_s + arrival.at, functools.partial(_must, world, intent)
+            )
         world.decide_s = 0.0
         world.decisions = 0
         world.run_until(offset_s + until)
--- a/kingcuplever/connection/http_server.py
+++ b/kingcuplever/connection/http_server.py
@@ -200,7 +200,10 @@
     response: HttpResponse, send: hypercorn_typing.ASGISendCallable
 ) -> None:
     headers = [(n.encode(), v.encode()) for n, v in response.headers]
-    headers.append((b"content-length", str(len(response.body)).encode()))
+    # A length that the handler states itself is kept.
+    if not any(name == b"content-length" for name, _ in headers):
+        length = str(len(response.body)).encode()
+        headers.append((b"content-length", length))
     await send(
         {
             "type": "http.response.start",
--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -875,11 +875,12 @@
      - headers
      - body
      - incarnation
+     - join_only
 
     """
 
 
-    def __init__(self, request=None, key=None, idempotent=None, account=None, service_name=None, target=None, timeout_ms=None, headers=None, body=None, incarnation=None,):
+    def __init__(self, request=None, key=None, idempotent=None, account=None, service_name=None, target=None, timeout_ms=None, headers=None, body=None, incarnation=None, join_only=None,):
         self.request = request
         self.key = key
         self.idempotent = idempotent
@@ -890,6 +891,7 @@
         self.headers = headers
         self.body = body
         self.incarnation = incarnation
+        self.join_only = join_only
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -956,6 +958,11 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.join_only = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1009,6 +1016,10 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 10)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.join_only is not None:
+            oprot.writeFieldBegin('join_only', TType.BOOL, 11)
+            oprot.writeBool(self.join_only)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2406,6 +2417,7 @@
     (8, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 8
     (9, TType.STRING, 'body', 'BINARY', None, ),  # 9
     (10, TType.I64, 'incarnation', None, None, ),  # 10
+    (11, TType.BOOL, 'join_only', None, None, ),  # 11
 )
 all_structs.append(DispatchReply)
 DispatchReply.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -126,6 +126,7 @@
     :ivar key: the caller's idempotency key with its account, or empty.
     :ivar incarnation: incarnation of the side that a key is claimed for;
         another one has no memory of it and must not run it.  0 without key.
+    :ivar join_only: answer if the key is known here, but do not run it.
     """
 
     request: str
@@ -138,6 +139,7 @@
     headers: tuple[Header, ...]
     body: bytes
     incarnation: int
+    join_only: bool
 
 
 class DispatchReply(NamedTuple):
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -40,7 +40,8 @@
 struct Dispatch {
   1: string request, 2: string key, 3: bool idempotent, 4: string account,
   5: string service_name, 6: string target, 7: i32 timeout_ms,
-  8: list<Header> headers, 9: binary body, 10: i64 incarnation
+  8: list<Header> headers, 9: binary body, 10: i64 incarnation,
+  11: bool join_only
 }
 
 struct DispatchReply {
--- a/kingcuplever/process/blocks.py
+++ b/kingcuplever/process/blocks.py
@@ -58,6 +58,24 @@
     return ((1 << need) - 1) * lowest
 
 
+@functools.lru_cache(maxsize=_CACHE_ENTRIES)
+def aligned_blocks(free: int, gpus: int, size: int) -> tuple[int, ...]:
+    """Give every free aligned block of a size, a power of two."""
+    whole = (1 << size) - 1
+    return tuple(
+        whole << start
+        for start in range(0, gpus - size + 1, size)
+        if free >> start & whole == whole
+    )
+
+
+def enclosing(block: int, size: int) -> int:
+    """Give the aligned block of a size that holds a smaller block."""
+    lowest = (block & -block).bit_length() - 1
+    start = lowest - lowest % size
+    return ((1 << size) - 1) << start
+
+
 @functools.lru_cache(maxsize=_CACHE_ENTRIES)
 def capacity(free: int, gpus: int, need: int) -> int:
     """Count how many tasks of ``need`` adjacent accelerators fit."""
--- a/kingcuplever/process/chooser.py
+++ b/kingcuplever/process/chooser.py
@@ -39,19 +39,21 @@
     job: state.Job,
     kept: frozenset[str],
     shun: frozenset[str],
+    span: placement.Span,
 ) -> Choice | None:
     """Choose a place for a job.
 
     :param kept: workers that are kept for other jobs; a guarantee does not
         heed them.
     :param shun: workers where the job should not go at all.
+    :param span: when the job is expected to run.
     """
     account = schedule.accounts[job.spec.account]
     choice = None
     if account.bound and job.spec.shape.gpus:
         choice = _choose_guaranteed(schedule, account, job, shun)
     if choice is None:
-        choice = _choose_borrowed(schedule, job, kept | shun)
+        choice = _choose_borrowed(schedule, job, kept | shun, span)
     if choice is None and account.bound and job.spec.shape.gpus:
         choice = _choose_reclaim(schedule, account, job, shun)
     return choice
@@ -201,9 +203,12 @@
 
 
 def _choose_borrowed(
-    schedule: state.Schedule, job: state.Job, avoid: frozenset[str]
+    schedule: state.Schedule,
+    job: state.Job,
+    avoid: frozenset[str],
+    span: placement.Span,
 ) -> Choice | None:
-    gang = placement.Gang(job.spec.tasks, job.spec.shape, avoid)
+    gang = placement.Gang(job.spec.tasks, job.spec.shape, avoid, span)
     ledger = schedule.ledger
     slots = placement.place(ledger, gang, placement.Space.OPEN)
     if slots is not None:
--- a/kingcuplever/process/gangs.py
+++ b/kingcuplever/process/gangs.py
@@ -558,12 +558,20 @@
         self.commands.append(commands.Say(part, text))
 
 
-def hold_run(ledger: ledgers.Ledger, run: Run) -> None:
-    """Take the room of a run that is not committed yet."""
+def hold_run(ledger: ledgers.Ledger, run: Run, ends_at: float) -> None:
+    """Take the room of a run that is not committed yet.
+
+    :param ends_at: when the run is expected to end.
+    """
     for task, slot in enumerate(run.commit.slots):
         ledger.hold(
             ledgers.Holding(
-                run.spec.job, run.attempt, task, slot, run.spec.shape
+                run.spec.job,
+                run.attempt,
+                task,
+                slot,
+                run.spec.shape,
+                ends_at,
             )
         )
 
--- a/kingcuplever/process/keys.py
+++ b/kingcuplever/process/keys.py
@@ -14,7 +14,7 @@
 
 MAX_KEYS: Final = 100_000
 # Entries' wall clocks may differ by so much.
-CLOCK_SKEW_MS: Final = 500
+CLOCK_SKEW_MS: Final = 100
 # Answers larger than this are not kept; a resend learns that it ran.
 MAX_KEPT_ANSWER: Final = 64 * 1024
 # All kept answers together.
@@ -83,6 +83,10 @@
             return Admission.ANSWERED
         return Admission.UNKNOWN
 
+    def knows(self, key: str) -> bool:
+        """Tell whether a key is remembered."""
+        return key in self._keys
+
     def answer_of(self, key: str) -> messages.DispatchReply | None:
         """Give the answer that a key had, if it is kept."""
         known = self._keys.get(key)
--- a/kingcuplever/process/ledger.py
+++ b/kingcuplever/process/ledger.py
@@ -18,13 +18,18 @@
 
 
 class Holding(NamedTuple):
-    """Room on one worker, held by one task of one attempt."""
+    """Room on one worker, held by one task of one attempt.
+
+    :ivar ends_at: when it is expected to be given back, on the owner's
+        clock; 0 where that is not known.
+    """
 
     job: str
     attempt: int
     task: int
     slot: shapes.Slot
     shape: shapes.TaskShape
+    ends_at: float = 0.0
 
 
 class WorkerRoom:
@@ -59,6 +64,16 @@
         """Accelerators that no task uses and no account is promised."""
         return self.free_mask & ~self.bound_mask
 
+    def busy_until(self, mask: int) -> float:
+        """Give when a block is expected to be free; 0 if it is now."""
+        if not mask & self.used_mask:
+            return 0.0
+        return max(
+            holding.ends_at
+            for holding in self.holdings.values()
+            if holding.slot.gpu_mask & mask
+        )
+
     def fits_count(self, shape: shapes.TaskShape, free_mask: int) -> int:
         """Count the tasks of a shape that fit, given free accelerators."""
         count = shapes.MAX_GANG_TASKS
--- a/kingcuplever/process/members.py
+++ b/kingcuplever/process/members.py
@@ -105,6 +105,8 @@
         start = bisect.bisect(self._ring, (_hash(key), ""))
         for step in range(len(self._ring)):
             _, side = self._ring[(start + step) % len(self._ring)]
+            if self._links[side].peer.closed:
+                continue
             found[side] = None
             if len(found) == count:
                 break
--- a/kingcuplever/process/owner.py
+++ b/kingcuplever/process/owner.py
@@ -19,6 +19,7 @@
 from kingcuplever.process import health
 from kingcuplever.process import learned
 from kingcuplever.process import moves
+from kingcuplever.process import placement
 from kingcuplever.process import queueing
 from kingcuplever.process import state
 from kingcuplever.process import usage
@@ -28,6 +29,8 @@
 
 # Most jobs that one round begins; the next round goes on.
 _BEGIN_AT_MOST: Final = 200
+# At most one worker is emptied by moves in this time.
+_GATHER_S: Final = 5.0
 # Timeouts are looked for so often; each look walks all runs and workers.
 _SCAN_S: Final = 0.2
 # A job whose reservation came to nothing waits so long.
@@ -77,6 +80,7 @@
         self._gained_at = 0.0
         self._dirty = True
         self._scan_at = 0.0
+        self._gather_at = 0.0
         self._not_before: dict[str, float] = {}
         self._tried: dict[str, int] = {}
         self._shunned: dict[str, float] = {}
@@ -201,6 +205,9 @@
             self._gangs.tick(moment.now)
             self._take_notices(moment)
             self._check_workers(moment)
+        if moment.now >= self._gather_at:
+            self._gather_at = moment.now + _GATHER_S
+            self._gather(moment)
         self._stop_wanted()
         if self._dirty:
             self._dirty = False
@@ -443,10 +450,13 @@
         if signature in failed:
             self.waiting[spec.job] = "no room for its shape"
             return False
-        choice = chooser.choose(self._schedule, job, kept, shun)
+        expected_s = self._run_times.expect_s(spec, job.progress)
+        span = placement.Span(moment.now, moment.now + expected_s)
+        choice = chooser.choose(self._schedule, job, kept, shun, span)
         if choice is None and job.failed_on:
             # Better once more on a worker where it failed than never.
-            choice = chooser.choose(self._schedule, job, kept, frozenset())
+            nowhere: frozenset[str] = frozenset()
+            choice = chooser.choose(self._schedule, job, kept, nowhere, span)
         if choice is None:
             failed.add(signature)
             self._wait(job, moment)
@@ -496,7 +506,9 @@
             choice.reason,
         )
         run = gangs.Run(job.spec, attempt, commit, job.progress)
-        gangs.hold_run(self._schedule.ledger, run)
+        expected_s = self._run_times.expect_s(job.spec, job.progress)
+        ends_at = moment.now + expected_s
+        gangs.hold_run(self._schedule.ledger, run, ends_at)
         self._gangs.begin(run, moment.now)
 
     def _reclaim(
@@ -530,6 +542,20 @@
                 elif run.stage is gangs.Stage.RESERVING:
                     self._gangs.abort(run.key, cause, "", moment.now)
 
+    def _gather(self, moment: Moment) -> None:
+        """Empty a worker that holds little, if that pays."""
+        keeps = self._queue.keeps.values()
+        avoid = frozenset(worker for k in keeps for worker in k.workers)
+        victims = moves.worth_gathering(
+            self._schedule,
+            moment.now,
+            self._config,
+            avoid | frozenset(self._shunned),
+        )
+        if victims:
+            cause = "moved so that its worker is whole again"
+            self._evict(victims, "move", cause, moment)
+
     def _wait(self, job: state.Job, moment: Moment) -> None:
         """Note that a job does not fit; keep space if it waits for long."""
         name = job.spec.job
--- a/kingcuplever/process/placement.py
+++ b/kingcuplever/process/placement.py
@@ -31,15 +31,24 @@
     FREE = "free"
 
 
+class Span(NamedTuple):
+    """When something is expected to run, on the owner's clock."""
+
+    now: float
+    until: float
+
+
 class Gang(NamedTuple):
     """What is to be placed.
 
     :ivar avoid: workers that are kept for another job.
+    :ivar span: when it is expected to run.
     """
 
     tasks: int
     shape: shapes.TaskShape
     avoid: frozenset[str] = frozenset()
+    span: Span = Span(0.0, 0.0)
 
 
 def place(
@@ -114,24 +123,76 @@
 def _place_in_worker(
     ledger: ledgers.Ledger, gang: Gang, space: Space, mask_of: MaskOf
 ) -> tuple[shapes.Slot, ...] | None:
-    whole = gang.tasks * blocks.round_up(gang.shape.gpus)
-    for need in dict.fromkeys((blocks.round_up(whole), gang.shape.gpus)):
-        looked = 0
-        for room in _candidates(ledger, need, space):
-            looked += 1
-            if looked > _LOOK_AT_MOST:
-                break
-            if room.shape.worker in gang.avoid:
-                continue
-            mask = mask_of(room)
-            if room.fits_count(gang.shape, mask) < gang.tasks:
-                continue
-            slots = _carve_together(room, gang, need, mask)
-            if slots is not None:
-                return slots
+    whole = blocks.round_up(gang.tasks * blocks.round_up(gang.shape.gpus))
+    if whole:
+        slots = _place_in_block(ledger, gang, space, mask_of, whole)
+        if slots is not None:
+            return slots
+    looked = 0
+    for room in _candidates(ledger, gang.shape.gpus, space):
+        looked += 1
+        if looked > _LOOK_AT_MOST:
+            break
+        if room.shape.worker in gang.avoid:
+            continue
+        mask = mask_of(room)
+        if room.fits_count(gang.shape, mask) < gang.tasks:
+            continue
+        slots = tuple(_carve(room, gang.shape, gang.tasks, mask))
+        if len(slots) == gang.tasks:
+            return slots
     return None
 
 
+def _place_in_block(
+    ledger: ledgers.Ledger,
+    gang: Gang,
+    space: Space,
+    mask_of: MaskOf,
+    size: int,
+) -> tuple[shapes.Slot, ...] | None:
+    """Place the whole gang in the aligned block where it blocks least."""
+    best: tuple[float, str, int] | None = None
+    looked = 0
+    for room in _candidates(ledger, size, space):
+        looked += 1
+        if looked > _LOOK_AT_MOST:
+            break
+        name = room.shape.worker
+        if name in gang.avoid:
+            continue
+        mask = mask_of(room)
+        if room.fits_count(gang.shape, mask) < gang.tasks:
+            continue
+        for block in blocks.aligned_blocks(mask, room.shape.gpus, size):
+            choice = (_blocking(room, block, gang.span), name, block)
+            if best is None or choice < best:
+                best = choice
+    if best is None:
+        return None
+    _, name, block = best
+    room = ledger.workers[name]
+    return tuple(_carve(room, gang.shape, gang.tasks, block))
+
+
+def _blocking(room: ledgers.WorkerRoom, block: int, span: Span) -> float:
+    """Give for how long a placement keeps larger blocks from being whole.
+
+    Every larger block around the chosen one counts by its size and by the
+    time that it is blocked longer than by what runs there already.  Short
+    work so gathers beside short work, and blocks come free together.
+    """
+    cost = 0.0
+    size = block.bit_count() * 2
+    while size <= room.shape.gpus:
+        around = blocks.enclosing(block, size)
+        busy_until = max(room.busy_until(around), span.now)
+        longer_s = max(0.0, span.until - busy_until)
+        cost += size * longer_s
+        size *= 2
+    return cost
+
+
 def _candidates(
     ledger: ledgers.Ledger, need: int, space: Space
 ) -> Iterator[ledgers.WorkerRoom]:
@@ -146,16 +207,6 @@
     return ledger.free_workers(need)
 
 
-def _carve_together(
-    room: ledgers.WorkerRoom, gang: Gang, need: int, mask: int
-) -> tuple[shapes.Slot, ...] | None:
-    if need > gang.shape.gpus:
-        # The whole gang goes into one aligned block of the worker.
-        mask = blocks.best_block(mask, room.shape.gpus, need)
-    slots = _carve(room, gang.shape, gang.tasks, mask)
-    return tuple(slots) if len(slots) == gang.tasks else None
-
-
 def _place_in_racks(
     ledger: ledgers.Ledger, gang: Gang, space: Space, mask_of: MaskOf
 ) -> tuple[shapes.Slot, ...] | None:
--- a/kingcuplever/process/router.py
+++ b/kingcuplever/process/router.py
@@ -35,6 +35,8 @@
 # been seen from there.
 _FAR_S: Final = 0.003
 _UNSEEN_S: Final = 0.02
+# A request starts only with this much more time than answers usually take.
+_TIME_MARGIN: Final = 1.25
 
 
 class TargetId(NamedTuple):
@@ -226,13 +228,10 @@
         for queues in self._queues.values():
             for queue in queues.values():
                 for waiting in list(queue):
-                    if waiting.ticket.deadline > now:
+                    if not self._too_late(waiting.ticket, now):
                         continue
                     queue.remove(waiting)
-                    self.shed += 1
-                    reason = "no slot came free before its deadline"
-                    refusal = Refusal(waiting.ticket, reason, 1.0)
-                    verdicts.append(refusal)
+                    verdicts.append(self._refuse_late(waiting.ticket))
         return verdicts + self._serve_queues(now)
 
     def queued(self) -> int:
@@ -341,7 +340,7 @@
             reason = f"service {ticket.service} has no target here"
             return Refusal(ticket, reason, 1.0)
         wait_s = self._expected_wait_s(ticket)
-        if now + wait_s > ticket.deadline:
+        if self._too_late(ticket, now + wait_s):
             self.shed += 1
             reason = f"the queue is {wait_s:.1f} s long, past its deadline"
             return Refusal(ticket, reason, max(wait_s, 0.1))
@@ -372,17 +371,34 @@
         ahead = len(queues["urgent"])
         if ticket.priority != "urgent":
             ahead += len(queues["normal"])
-        slots = 0
-        observed = []
-        for name in self._by_service.get(ticket.service, ()):
-            target = self._targets[name]
-            if target.usable and target.state is not None:
-                slots += target.state.slots
-                if target.observed_s is not None:
-                    observed.append(target.observed_s)
-        if not slots or not observed:
+        slots = sum(
+            target.state.slots
+            for name in self._by_service.get(ticket.service, ())
+            if (target := self._targets[name]).usable
+            and target.state is not None
+        )
+        if not slots:
             return 0.0
-        return (ahead + 1) * statistics.median(observed) / slots
+        return (ahead + 1) * self._usual_s(ticket.service) / slots
+
+    def _usual_s(self, service: str) -> float:
+        """Give the usual time of an answer; 0 before any was seen."""
+        observed = [
+            target.observed_s
+            for name in self._by_service.get(service, ())
+            if (target := self._targets[name]).observed_s is not None
+        ]
+        return statistics.median(observed) if observed else 0.0
+
+    def _too_late(self, ticket: Ticket, now: float) -> bool:
+        """Tell whether a ticket can't be answered in time any more."""
+        needed_s = self._usual_s(ticket.service) * _TIME_MARGIN
+        return now + needed_s > ticket.deadline
+
+    def _refuse_late(self, ticket: Ticket) -> Refusal:
+        self.shed += 1
+        reason = "no slot came free in time for an answer"
+        return Refusal(ticket, reason, 1.0)
 
     def _serve_queues(self, now: float) -> list[Verdict]:
         verdicts: list[Verdict] = []
@@ -391,8 +407,10 @@
                 queue = queues[priority]
                 while queue:
                     ticket = queue[0].ticket
-                    if ticket.deadline <= now:
-                        break
+                    if self._too_late(ticket, now):
+                        queue.popleft()
+                        verdicts.append(self._refuse_late(ticket))
+                        continue
                     chosen = self._choose(ticket, now)
                     if chosen is None:
                         break
--- a/kingcuplever/process/targets.py
+++ b/kingcuplever/process/targets.py
@@ -13,6 +13,8 @@
 
 # A target that was not heard for so many of its periods is dropped.
 _PERIODS: Final = 3
+# Weight of the newest answer in a target's usual time.
+_NEWEST: Final = 0.2
 
 
 class Announcement(NamedTuple):
@@ -55,6 +57,7 @@
     """One target and what runs there.
 
     :ivar busy: requests of this side in progress.
+    :ivar usual_s: how long its answers take of late; 0 before any.
     """
 
     def __init__(self, announcement: Announcement, now: float) -> None:
@@ -62,6 +65,23 @@
         self.announcement = announcement
         self.heard_at = now
         self.busy = 0
+        self.usual_s = 0.0
+
+    def answered(self, seconds: float) -> None:
+        """Take in how long an answer took."""
+        if not self.usual_s:
+            self.usual_s = seconds
+        self.usual_s += _NEWEST * (seconds - self.usual_s)
+
+
+class Refusal(NamedTuple):
+    """Why a target takes no new work.
+
+    :ivar full: whether it may take it once a slot is free.
+    """
+
+    detail: str
+    full: bool
 
 
 class TargetTable:
@@ -111,21 +131,20 @@
                 known.announcement = known.announcement._replace(draining=True)
         return quiet
 
-    def admit(self, name: str, service: str) -> Target | str:
+    def admit(self, name: str, service: str) -> Target | Refusal:
         """Take a slot at a target.
 
         :param name: the target, or empty for any of the service.
-        :return: the target, or why it takes no new work.
         """
         if not name:
             name = self._freest(service)
         target = self._targets.get(name)
         if target is None:
-            return f"target {name} is not here"
+            return Refusal(f"target {name} is not here", False)
         if target.announcement.draining or self.draining:
-            return f"target {name} is draining"
+            return Refusal(f"target {name} is draining", False)
         if target.busy >= target.announcement.slots:
-            return f"target {name} has no free slot"
+            return Refusal(f"target {name} has no free slot", True)
         target.busy += 1
         return target
 
--- a/kingcuplever/request/caller.py
+++ b/kingcuplever/request/caller.py
@@ -152,8 +152,9 @@
     async def run(self) -> messages.DispatchReply:
         """Make attempts until there is an answer, or none may follow."""
         error: errors.KingcupleverError | None = None
+        refused = False
         for attempt in range(_ATTEMPTS_MOST):
-            if attempt and not self._may_retry():
+            if attempt and not self._may_retry(refused):
                 break
             verdict = await self._acquire()
             if isinstance(verdict, routers.Refusal):
@@ -163,14 +164,21 @@
             if reply.verdict == messages.ANSWERED:
                 return reply
             error = _error_of(reply)
+            refused = reply.verdict == messages.NOT_RUN
             if not self._repeatable(reply):
                 break
         assert error is not None
         raise await self._last_check(error)
 
-    def _may_retry(self) -> bool:
-        left = self._deadline - trio.current_time()
-        return left > 0 and self._budget.take()
+    def _may_retry(self, refused: bool) -> bool:
+        """Tell whether there is time and budget for another attempt.
+
+        :param refused: the last one did not run, so that the next is no
+            load beside it.
+        """
+        if self._deadline <= trio.current_time():
+            return False
+        return refused or self._budget.take()
 
     def _repeatable(self, reply: messages.DispatchReply) -> bool:
         if self._spec.idempotent:
@@ -250,14 +258,21 @@
             logs.Part.ROUTE,
             f"{self._id}: key known, to its runner {fate.runner}.",
         )
-        reply = await self._dispatch(fate.runner, "", fate.incarnation)
+        disputed = fate.standing is keyed.Standing.DISPUTED
+        reply = await self._dispatch(
+            fate.runner, "", fate.incarnation, disputed
+        )
         if reply.verdict == messages.NOT_RUN and not self._fenced_at:
             # It was not sent, but an earlier sending may have been.
             return _unknown(self._id, reply.detail)
         return reply
 
     async def _dispatch(
-        self, side: str, target: str, incarnation: int
+        self,
+        side: str,
+        target: str,
+        incarnation: int,
+        join_only: bool = False,
     ) -> messages.DispatchReply:
         link = self._sides.find(side)
         left_s = self._deadline - trio.current_time()
@@ -265,7 +280,7 @@
             return _not_run(self._id, f"{side} is not linked")
         if left_s <= 0:
             return _not_run(self._id, "its time is over")
-        message = self._message(target, incarnation, left_s)
+        message = self._message(target, incarnation, left_s, join_only)
         try:
             reply = await link.peer.call(message, left_s + _SIDE_MARGIN_S)
         except errors.PeerLost as error:
@@ -281,7 +296,7 @@
         return checked
 
     def _message(
-        self, target: str, incarnation: int, left_s: float
+        self, target: str, incarnation: int, left_s: float, join_only: bool
     ) -> messages.Dispatch:
         spec = self._spec
         key = spec.key if self._at_most_once else ""
@@ -296,6 +311,7 @@
             tuple(messages.Header(*pair) for pair in spec.headers),
             spec.body,
             incarnation if key else 0,
+            join_only,
         )
 
     def _check(
--- a/kingcuplever/request/dispatching.py
+++ b/kingcuplever/request/dispatching.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from typing import Final
 
 import trio
 
@@ -16,6 +17,10 @@
 from kingcuplever.process import keys
 from kingcuplever.process import targets
 
+# A request may wait so long at the side for a slot, with so many others.
+_SLOT_WAIT_S: Final = 0.2
+_SLOT_WAITERS: Final = 16
+
 ClientOf = Callable[[str], http_client.HttpClient]
 
 
@@ -46,6 +51,7 @@
         self._claims = keys.ClaimTable(horizon_s)
         self._running: dict[str, _Running] = {}
         self._in_progress = 0
+        self._slot_free = trio.lowlevel.ParkingLot()
         self.targets = targets.TargetTable()
 
     @property
@@ -83,6 +89,9 @@
                 messages.UNKNOWN,
                 f"{self._side} has restarted since the key was claimed",
             )
+        if order.join_only and not self._keys.knows(order.key):
+            detail = f"the key has not come to {self._side}"
+            return _reply(order, messages.UNKNOWN, detail)
         admission = self._keys.admit(order.key, trio.current_time())
         if admission is keys.Admission.RUN:
             return await self._start(order).wait()
@@ -122,12 +131,43 @@
                 del self._running[order.key]
             running.end(reply)
 
+    def _release(self, target: targets.Target) -> None:
+        self.targets.release(target)
+        self._slot_free.unpark()
+
+    async def _admit(
+        self, order: messages.Dispatch, deadline: float
+    ) -> targets.Target | targets.Refusal:
+        """Take a slot, waiting shortly for one.
+
+        Entries see each other's use of the slots late, so that a few
+        requests too many come now and then; waiting here is cheaper than
+        sending them away.
+        """
+        wait_until = min(deadline, trio.current_time() + _SLOT_WAIT_S)
+        while True:
+            found = self.targets.admit(order.target, order.service_name)
+            if isinstance(found, targets.Target) or not found.full:
+                return found
+            if len(self._slot_free) >= _SLOT_WAITERS:
+                return found
+            with trio.move_on_at(wait_until) as scope:
+                await self._slot_free.park()
+            if scope.cancelled_caught:
+                return found
+
     async def _call_target(
         self, order: messages.Dispatch
     ) -> messages.DispatchReply:
-        target = self.targets.admit(order.target, order.service_name)
-        if isinstance(target, str):
-            return _reply(order, messages.NOT_RUN, target)
+        deadline = trio.current_time() + order.timeout_ms / 1000
+        target = await self._admit(order, deadline)
+        if isinstance(target, targets.Refusal):
+            return _reply(order, messages.NOT_RUN, target.detail)
+        started = trio.current_time()
+        if deadline - started < target.usual_s:
+            self._release(target)
+            detail = f"{target.announcement.target} has no time left for it"
+            return _reply(order, messages.NOT_RUN, detail)
         try:
             client = self._client_of(target.announcement.address)
             answer = await client.call(
@@ -135,14 +175,15 @@
                 f"/requests/{order.service_name}",
                 order.body,
                 tuple((h.name, h.value) for h in order.headers),
-                order.timeout_ms / 1000,
+                deadline - started,
             )
+            target.answered(trio.current_time() - started)
         except errors.PlatformFailed as error:
             verdict = messages.UNKNOWN if error.sent else messages.NOT_RUN
             logs.warn(logs.Part.ROUTE, f"{order.request}: {error.detail}")
             return _reply(order, verdict, error.detail)
         finally:
-            self.targets.release(target)
+            self._release(target)
         headers = tuple(messages.Header(*pair) for pair in answer.headers)
         return messages.DispatchReply(
             order.request,
--- a/kingcuplever/request/keyed.py
+++ b/kingcuplever/request/keyed.py
@@ -17,14 +17,21 @@
 # Sides that witness each key.
 _HOLDERS: Final = 2
 _CLAIM_TIMEOUT_S: Final = 1.0
+# Times to look for the witnesses again after one of them went away.
+_ROUNDS: Final = 3
 
 
 class Standing(enum.Enum):
-    """What the witnesses say of a key."""
+    """What the witnesses say of a key.
+
+    A claimed key may still be run by its runner; a disputed one, which the
+    witnesses ascribe to different sides, may not be run by any.
+    """
 
     GRANTED = "granted"
     FENCED = "fenced"
     CLAIMED = "claimed"
+    DISPUTED = "disputed"
     UNPROVABLE = "unprovable"
 
 
@@ -66,25 +73,79 @@
         :param replaces: side that has fenced the key.
         :return: ``GRANTED`` if the claim, or the fence, holds.
         """
-        holders = self._sides.holders(key, _HOLDERS)
+        message = messages.Claim(
+            request, key, runner, incarnation, replaces, since_ms
+        )
+        fate = Fate(Standing.UNPROVABLE, detail="no side is linked")
+        for _ in range(_ROUNDS):
+            holders = self._sides.holders(key, _HOLDERS)
+            fate = await self._claim_at(holders, message)
+            if fate.standing is not Standing.UNPROVABLE:
+                break
+            now = self._sides.holders(key, _HOLDERS)
+            if now == holders or not set(now) & set(holders):
+                # A witness that is there does not answer, or none is left
+                # of those who could remember the key.
+                break
+        return fate
+
+    async def _claim_at(
+        self, holders: list[members.Link], message: messages.Claim
+    ) -> Fate:
+        """Claim a key at given witnesses, the home last."""
         if not holders:
             return Fate(Standing.UNPROVABLE, detail="no side is linked")
+        granted: list[members.Link] = []
         for link in reversed(holders):
-            message = messages.Claim(
-                request, key, runner, incarnation, replaces, since_ms
-            )
-            try:
-                reply = await link.peer.call(message, _CLAIM_TIMEOUT_S)
-            except errors.KingcupleverError as error:
-                detail = f"witness {link.side}: {error.detail}"
-                return Fate(Standing.UNPROVABLE, detail=detail)
-            if not isinstance(reply, messages.ClaimReply):
-                detail = f"witness {link.side} sent no reply of ours"
-                return Fate(Standing.UNPROVABLE, detail=detail)
+            reply = await _ask(link, message)
+            if isinstance(reply, Fate):
+                return reply
             if reply.granted:
+                granted.append(link)
                 continue
             if not reply.runner:
                 detail = "the key was fenced after this sending came"
                 return Fate(Standing.FENCED, detail=detail)
-            return Fate(Standing.CLAIMED, reply.runner, reply.incarnation)
+            known = message._replace(
+                runner=reply.runner,
+                incarnation=reply.incarnation,
+                replaces=message.runner,
+            )
+            return await _settle(holders, granted, known)
         return Fate(Standing.GRANTED)
+
+
+async def _ask(
+    link: members.Link, message: messages.Claim
+) -> messages.ClaimReply | Fate:
+    """Claim a key at one witness; give a fate if that fails."""
+    try:
+        reply = await link.peer.call(message, _CLAIM_TIMEOUT_S)
+    except errors.KingcupleverError as error:
+        detail = f"witness {link.side}: {error.detail}"
+        return Fate(Standing.UNPROVABLE, detail=detail)
+    if not isinstance(reply, messages.ClaimReply):
+        detail = f"witness {link.side} sent no reply of ours"
+        return Fate(Standing.UNPROVABLE, detail=detail)
+    return reply
+
+
+async def _settle(
+    holders: list[members.Link],
+    granted: list[members.Link],
+    known: messages.Claim,
+) -> Fate:
+    """Have all witnesses agree on the runner that one of them knows.
+
+    :param granted: witnesses that have taken this sending's own claim; it
+        is taken back in favour of the known one.
+    :param known: claim for the known runner, replacing this sending's.
+    """
+    agreed = True
+    for link in holders:
+        replaces = known.replaces if link in granted else ""
+        reply = await _ask(link, known._replace(replaces=replaces))
+        if isinstance(reply, Fate) or not reply.granted:
+            agreed = False
+    standing = Standing.CLAIMED if agreed else Standing.DISPUTED
+    return Fate(standing, known.runner, known.incarnation)
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -51,6 +51,7 @@
     run_state: str
     whole: bool
     seconds: float
+    detail: str = ""
 
 
 class Audit(NamedTuple):
@@ -182,4 +183,5 @@
     ) == call.body.decode("latin-1")
     code = document.get("code", "")
     run_state = document.get("run", "") if code else ""
-    return Told(call, status, code, run_state, whole, seconds)
+    detail = document.get("detail", "")
+    return Told(call, status, code, run_state, whole, seconds, detail)
--- a/standins/target.py
+++ b/standins/target.py
@@ -117,7 +117,8 @@
         await trio.sleep(work_s)
         run["ended_at"] = time.time()
         if self.breaks:
-            raise RuntimeError("the stand-in breaks its answer off")
+            longer = (("content-length", "1000"),)
+            return http_server.HttpResponse(200, longer, b"half an ans")
         if self.fails:
             return http_server.json_response({"failed": True}, 500)
         echo = {
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 import pytest
 from standins import deployment
 from standins import fleet as fleets
+from standins import platform
 
 hypothesis.settings.register_profile(
     "fixed", derandomize=True, deadline=None, database=None
@@ -40,6 +41,29 @@
         yield start
 
 
+@pytest.fixture
+def proxied_fleet(tmp_path: Any) -> Iterator[fleets.Fleet]:
+    """Give a fleet whose sides reach the entries through proxies."""
+    folder = str(tmp_path)
+    shape = deployment.Shape({"jerash": 3}, ("jerash", "jerash"))
+    settings = deployment.write(folder, shape)
+    known = options.load(settings)
+    proxies = []
+    through = settings
+    for name, entry in known.entry.items():
+        listen = fleets.free_address()
+        control = fleets.free_address()
+        proxies.append(platform.ProxyPlan(listen, entry.peers, control))
+        through = deployment.with_address(
+            through, entry.peers, listen, f"through-{name}.toml"
+        )
+    plan = fleets.plan_for(known, SERVICE)._replace(proxies=tuple(proxies))
+    settings_of = dict.fromkeys(known.side, through)
+    with fleets.Fleet(settings, plan, folder, settings_of) as running:
+        wait_for_workers(running, 3)
+        yield running
+
+
 @pytest.fixture
 def fleet(start_fleet: StartFleet) -> fleets.Fleet:
     """Give two entries and three sides in one data centre."""
