--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -49,6 +49,7 @@
         with running(sides) as fleet:
             time.sleep(2.0)
             rows.append(_idle_row(fleet, sides))
+            print(f"measured {sides} sides", flush=True)
     print(f"idle for {_IDLE_S:.0f} s, heartbeat {_TIMING['heartbeat_ms']} ms")
     print(tables.render(rows, list(rows[0])))
     print()
--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+import math
 import statistics
 from typing import Final
 from typing import NamedTuple
@@ -13,6 +14,7 @@
 from kingcuplever import options
 from kingcuplever.process import fragmentation
 from kingcuplever import records
+from kingcuplever import shapes
 from kingcuplever.version import configuration
 
 _KINDS: Final = ("urgent", "small", "medium", "large", "dawn")
@@ -47,9 +49,14 @@
 
 
 def run_product(
-    mix: workload.Mix, count: int, until: float, seed: int
+    mix: workload.Mix,
+    count: int,
+    until: float,
+    seed: int,
+    accounts: tuple[shapes.AccountSpec, ...] | None = None,
 ) -> Outcome:
     """Run a workload through the product's decisions."""
+    accounts = accounts or workload.accounts(count)
     config = configuration.SchedulingConfig(
         completion_weight=mix.completion_weight,
         fragmentation_weight=mix.fragmentation_weight,
@@ -58,7 +65,7 @@
     world = emulator.Emulation(workload.workers(count), config, seed)
     arrivals = workload.arrivals(mix, count, until, seed)
     samples: dict[int, list[float]] = collections.defaultdict(list)
-    offset_s = _prepare(world, count)
+    offset_s = _prepare(world, accounts)
     for arrival in arrivals:
         intent = records.Intent("job", job=arrival.spec)
         world.at(
@@ -86,13 +93,16 @@
 
 
 def run_baseline(
-    mix: workload.Mix, count: int, until: float, seed: int
+    mix: workload.Mix,
+    count: int,
+    until: float,
+    seed: int,
+    accounts: tuple[shapes.AccountSpec, ...] | None = None,
 ) -> Outcome:
     """Run a workload through the first-fit baseline."""
+    accounts = accounts or workload.accounts(count)
     arrivals = workload.arrivals(mix, count, until, seed)
-    first_fit = baseline.FirstFit(
-        workload.workers(count), workload.accounts(count)
-    )
+    first_fit = baseline.FirstFit(workload.workers(count), accounts)
     first_fit.run(arrivals, until)
     means = {
         size: statistics.fmean(rows)
@@ -118,6 +128,42 @@
         _print_rest(ours, theirs)
 
 
+def compare_fragmentation() -> None:
+    """Print fragmentation where both have the same accelerators free.
+
+    Without guarantees and below the load at which a queue forms, both place
+    every job at once, so that only the choice of places differs.
+    """
+    rows = []
+    accounts = tuple(
+        spec._replace(guarantees=()) for spec in workload.accounts(10)
+    )
+    for load in (0.5, 0.7):
+        mix = workload.SADDLEBROOK._replace(load=load, dawn_every_s=math.inf)
+        runs = [
+            (
+                run_product(mix, 10, _HOUR_S, seed, accounts),
+                run_baseline(mix, 10, _HOUR_S, seed, accounts),
+            )
+            for seed in _SEEDS
+        ]
+        for size in fragmentation.SIZES:
+            mine = statistics.median(one.fragmented[size] for one, _ in runs)
+            base = statistics.median(two.fragmented[size] for _, two in runs)
+            rows.append(
+                {
+                    "load": f"{load:.0%}",
+                    "size": size,
+                    "ours": f"{mine:.3f}",
+                    "first fit": f"{base:.3f}",
+                    "ratio": f"{mine / base:.2f}",
+                }
+            )
+    print("fragmentation with the same accelerators free, 10 workers, 1 h")
+    print(tables.render(rows, list(rows[0])))
+    print()
+
+
 def measure_cost() -> None:
     """Print what a decision costs, over the size of the fleet."""
     rows = []
@@ -128,7 +174,7 @@
             1,
             _COST_TIMING,
         )
-        offset_s = _prepare(world, count)
+        offset_s = _prepare(world, workload.accounts(count))
         until = 120.0
         arrivals = workload.arrivals(workload.SADDLEBROOK, count, until, 1)
         for arrival in arrivals:
@@ -154,10 +200,12 @@
     print()
 
 
-def _prepare(world: emulator.Emulation, count: int) -> float:
+def _prepare(
+    world: emulator.Emulation, accounts: tuple[shapes.AccountSpec, ...]
+) -> float:
     """Let the workers join and state the accounts; give the time then."""
     world.run_until(12.0)
-    for spec in workload.accounts(count):
+    for spec in accounts:
         _must(world, records.Intent("account", spec))
         world.run_until(world.now + 0.1)
     return world.now
@@ -252,7 +300,8 @@
 
 def main() -> None:
     """Run the scheduling measurements."""
-    compare(10, 2.0)
+    compare(10, 1.0)
+    compare_fragmentation()
     measure_cost()
 
 
--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -433,11 +433,12 @@
      - tasks
      - config_version
      - epoch
+     - config
 
     """
 
 
-    def __init__(self, side=None, incarnation=None, sequence=None, data_centre=None, targets=None, worker=None, tasks=None, config_version=None, epoch=None,):
+    def __init__(self, side=None, incarnation=None, sequence=None, data_centre=None, targets=None, worker=None, tasks=None, config_version=None, epoch=None, config=None,):
         self.side = side
         self.incarnation = incarnation
         self.sequence = sequence
@@ -447,6 +448,7 @@
         self.tasks = tasks
         self.config_version = config_version
         self.epoch = epoch
+        self.config = config
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -515,6 +517,11 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.config = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -567,6 +574,10 @@
             oprot.writeFieldBegin('epoch', TType.I64, 9)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
+        if self.config is not None:
+            oprot.writeFieldBegin('config', TType.STRING, 10)
+            oprot.writeString(self.config.encode('utf-8') if sys.version_info[0] == 2 else self.config)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2380,6 +2391,7 @@
     (7, TType.LIST, 'tasks', (TType.STRUCT, [TaskState, None], False), None, ),  # 7
     (8, TType.I64, 'config_version', None, None, ),  # 8
     (9, TType.I64, 'epoch', None, None, ),  # 9
+    (10, TType.STRING, 'config', 'UTF8', None, ),  # 10
 )
 all_structs.append(GangLease)
 GangLease.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -71,6 +71,7 @@
     :ivar incarnation: grows with every start of the side.
     :ivar worker: absent until the side has heard from its worker.
     :ivar epoch: highest scheduling epoch that the side has obeyed.
+    :ivar config: the configuration document, if the entry's is older.
     """
 
     side: str
@@ -82,6 +83,7 @@
     tasks: tuple[TaskState, ...]
     config_version: int
     epoch: int
+    config: str | None = None
 
 
 class GangLease(NamedTuple):
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -24,7 +24,7 @@
   1: string side, 2: i64 incarnation, 3: i64 sequence,
   4: string data_centre, 5: list<TargetState> targets,
   6: optional WorkerState worker, 7: list<TaskState> tasks,
-  8: i64 config_version, 9: i64 epoch
+  8: i64 config_version, 9: i64 epoch, 10: optional string config
 }
 
 struct GangLease { 1: string job, 2: i32 attempt, 3: i32 ttl_ms }
--- a/kingcuplever/process/entry.py
+++ b/kingcuplever/process/entry.py
@@ -145,6 +145,8 @@
             text = f"Side {message.side} is linked, {message.incarnation}."
             logs.info(logs.Part.MEMBER, text)
         await self._router.heard(message)
+        if message.config is not None:
+            self._config.offer(message.config_version, message.config)
         granted = data_centre.Granted(0, (), ())
         place = self._data_centres.get(message.data_centre)
         if place is not None and message.worker is not None:
--- a/kingcuplever/process/evidence.py
+++ b/kingcuplever/process/evidence.py
@@ -77,6 +77,7 @@
 GANG = "no part of a gang runs without the rest"
 CONFIRMED = "nothing changes before a confirmation"
 OWNED = "one owner decides per epoch"
+WHOLE = "the records are all there and unchanged"
 CONFIG = "an accepted configuration never reverts"
 
 
@@ -140,19 +141,26 @@
         self._gang = _Case(GANG)
         self._confirmed = _Case(CONFIRMED)
         self._owned = _Case(OWNED)
+        self._whole = _Case(WHOLE)
+        self._digests = {start.offset: start.digest}
         self._reclaims: dict[tuple[str, int], tuple[int, int]] = {}
         self._stopping: dict[tuple[str, int], int] = {}
         self._short: dict[str, int] = {}
 
     def take(self, entry: Entry) -> None:
+        self._check_offset(entry.offset)
         if entry.record is None:
             replay.skip(self._schedule, entry.offset, entry.text)
+            self._note_digest()
             return
         record = entry.record
         self._check_before(entry.offset, record)
         counted = replay.apply(
             self._schedule, entry.offset, record, entry.text
         )
+        self._note_digest()
+        if isinstance(record.body, records.Snapshot):
+            self._check_digest(entry.offset, record.body)
         if counted:
             self._check_after(entry.offset, record)
 
@@ -166,9 +174,29 @@
                 self._gang,
                 self._confirmed,
                 self._owned,
+                self._whole,
             )
         ]
 
+    def _note_digest(self) -> None:
+        self._digests[self._schedule.offset] = self._schedule.digest
+
+    def _check_offset(self, offset: int) -> None:
+        """Check that no record is missing before this one."""
+        if offset > self._schedule.offset:
+            text = f"records {self._schedule.offset} to {offset - 1} are gone"
+            self._whole.findings.append(Finding(self._stream, offset, text))
+
+    def _check_digest(self, offset: int, body: records.Snapshot) -> None:
+        """Compare the chain so far with what a snapshot carries forward."""
+        own = self._digests.get(body.offset)
+        if own is None:
+            return
+        self._whole.checked += 1
+        if body.state.get("digest") != own:
+            text = f"a record before {body.offset} was changed"
+            self._whole.findings.append(Finding(self._stream, offset, text))
+
     def _check_before(self, offset: int, record: records.Record) -> None:
         body = record.body
         if isinstance(body, records.Commit):
--- a/kingcuplever/process/moves.py
+++ b/kingcuplever/process/moves.py
@@ -4,11 +4,14 @@
 that the gang gains are worth more, in the configuration's weights, than
 those that the moved jobs lose by a checkpoint and a new start.  A worker
 that holds little is emptied into the gaps of others, so that it is whole
-again, if the same comparison says so.
+again, if the same comparison says so.  Urgent work that finds no room moves
+the least batch work that makes some.
 """
 
 from typing import Final
+from typing import NamedTuple
 
+from kingcuplever.process import blocks
 from kingcuplever.process import chooser
 from kingcuplever.process import ledger as ledgers
 from kingcuplever.process import placement
@@ -29,6 +32,18 @@
 _TRIAL: Final = "trial/"
 # A job is moved at most so often.
 _MOVES_AT_MOST: Final = 2
+# ... and so often for urgent work, which may not wait.
+_URGENT_MOVES_AT_MOST: Final = 4
+
+
+class Making(NamedTuple):
+    """Room that is to be made on a worker.
+
+    :ivar victims: jobs to move.
+    """
+
+    worker: str
+    victims: tuple[str, ...]
 
 
 def worth_moving(
@@ -88,6 +103,69 @@
     return best[1]
 
 
+def for_urgent(
+    schedule: state.Schedule, job: state.Job, avoid: frozenset[str]
+) -> Making | None:
+    """Choose the batch work to move so that urgent work can start.
+
+    Only borrowers of one worker are moved, those with the fewest
+    accelerators, and none that was moved often.
+
+    :param avoid: workers that must not be used.
+    """
+    shape = job.spec.shape
+    size = blocks.round_up(job.spec.tasks * blocks.round_up(shape.gpus))
+    if not size:
+        return None
+    best: tuple[int, str, Making] | None = None
+    for room in schedule.ledger.usable_rooms():
+        name = room.shape.worker
+        if name in avoid:
+            continue
+        full = blocks.full_mask(room.shape.gpus)
+        for block in blocks.aligned_blocks(full, room.shape.gpus, size):
+            victims = _movable_from(schedule, room, block, job)
+            if not victims:
+                continue
+            gpus = sum(schedule.jobs[victim].gpus for victim in victims)
+            choice = (gpus, name, Making(name, victims))
+            if best is None or choice[:2] < best[:2]:
+                best = choice
+    return best[2] if best else None
+
+
+def _movable_from(
+    schedule: state.Schedule,
+    room: ledgers.WorkerRoom,
+    block: int,
+    job: state.Job,
+) -> tuple[str, ...]:
+    """Give the jobs on a block, if all may move and that is enough."""
+    found: dict[str, None] = {}
+    cores = room.cores_free
+    memory_gb = room.memory_free_gb
+    for holding in room.holdings.values():
+        if not holding.slot.gpu_mask & block:
+            continue
+        victim = schedule.jobs.get(holding.job)
+        if victim is None or victim.phase != "running":
+            return ()
+        if victim.spec.priority == "urgent":
+            return ()
+        if victim.evictions >= _URGENT_MOVES_AT_MOST:
+            return ()
+        if not chooser.is_borrowed(schedule, room, holding):
+            return ()
+        found[holding.job] = None
+        cores += holding.shape.cores
+        memory_gb += holding.shape.memory_gb
+    shape = job.spec.shape
+    tasks = job.spec.tasks
+    if cores < tasks * shape.cores or memory_gb < tasks * shape.memory_gb:
+        return ()
+    return tuple(found)
+
+
 def _worth_of(
     schedule: state.Schedule,
     room: ledgers.WorkerRoom,
--- a/kingcuplever/process/owner.py
+++ b/kingcuplever/process/owner.py
@@ -83,6 +83,7 @@
         self._gather_at = 0.0
         self._not_before: dict[str, float] = {}
         self._tried: dict[str, int] = {}
+        self._made_room: dict[str, float] = {}
         self._shunned: dict[str, float] = {}
         self._worker_appends: dict[str, records.WorkerStatus] = {}
         self._reclaims: dict[str, float] = {}
@@ -142,6 +143,7 @@
         if isinstance(body, records.Ended) and counted:
             self._learn(body, record.time_ms)
             self._tried.pop(body.job, None)
+            self._made_room.pop(body.job, None)
         if not self._owning:
             return
         if isinstance(body, records.WorkerChange):
@@ -447,7 +449,7 @@
         shun = frozenset(self._shunned) | frozenset(job.failed_on)
         claimant = spec.account if account.bound else ""
         signature = (claimant, spec.tasks, spec.shape, kept, shun)
-        if signature in failed:
+        if signature in failed and spec.priority != "urgent":
             self.waiting[spec.job] = "no room for its shape"
             return False
         expected_s = self._run_times.expect_s(spec, job.progress)
@@ -459,7 +461,10 @@
             choice = chooser.choose(self._schedule, job, kept, nowhere, span)
         if choice is None:
             failed.add(signature)
-            self._wait(job, moment)
+            if spec.priority == "urgent":
+                self._make_room(job, kept | shun, moment)
+            else:
+                self._wait(job, moment)
             return False
         if choice.victims:
             self._reclaim(job, choice, moment)
@@ -542,6 +547,23 @@
                 elif run.stage is gangs.Stage.RESERVING:
                     self._gangs.abort(run.key, cause, "", moment.now)
 
+    def _make_room(
+        self, job: state.Job, avoid: frozenset[str], moment: Moment
+    ) -> None:
+        """Move batch work away so that urgent work can start."""
+        name = job.spec.job
+        self.waiting[name] = "no room for its shape"
+        if self._made_room.get(name, -math.inf) > moment.now:
+            return
+        making = moves.for_urgent(self._schedule, job, avoid)
+        if making is None:
+            return
+        self._made_room[name] = moment.now + self._config.reclaim_ms / 1000
+        workers = frozenset({making.worker})
+        self._queue.keeps[name] = queueing.Keep(name, workers, -math.inf)
+        cause = f"moved to make room for urgent {name}"
+        self._evict(making.victims, "move", cause, moment)
+
     def _gather(self, moment: Moment) -> None:
         """Empty a worker that holds little, if that pays."""
         keeps = self._queue.keeps.values()
--- a/kingcuplever/process/side.py
+++ b/kingcuplever/process/side.py
@@ -58,6 +58,7 @@
         self._clients: dict[str, http_client.HttpClient] = {}
         self._changed = trio.Event()
         self._config_version = 0
+        self._config_text: str | None = None
         self._worker: worker_task.WorkerTask | None = None
         horizon_s = fleet.timing.key_horizon_ms / 1000
         self._desk = dispatching.Desk(
@@ -188,17 +189,25 @@
     async def _beat(self, peer: peers.Peer) -> None:
         period_s = self._fleet.timing.heartbeat_ms / 1000
         silence_s = self._fleet.timing.silence_ms / 1000
+        entry_version = self._config_version
         while True:
             changed = self._changed
-            heartbeat = await self._make_heartbeat()
+            heartbeat = await self._make_heartbeat(entry_version)
             reply = await peer.call(heartbeat, silence_s)
             if not isinstance(reply, messages.HeartbeatReply):
                 raise errors.InvalidRequest("The entry sent no reply of ours.")
+            entry_version = reply.config_version
             await self._take_reply(reply, heartbeat.sequence)
             with trio.move_on_after(period_s):
                 await changed.wait()
 
-    async def _make_heartbeat(self) -> messages.Heartbeat:
+    async def _make_heartbeat(self, entry_version: int) -> messages.Heartbeat:
+        """Tell an entry what is here.
+
+        :param entry_version: configuration that the entry has; one that
+            came up while the log is away learns a newer one from its sides.
+        """
+        newer = self._config_version > entry_version
         sequence = next(self._sequences)
         view = worker_task.View(None, (), 0)
         if self._worker is not None:
@@ -213,20 +222,22 @@
             view.tasks,
             self._config_version,
             view.epoch,
+            self._config_text if newer else None,
         )
 
     async def _take_reply(
         self, reply: messages.HeartbeatReply, sequence: int
     ) -> None:
         if reply.config is not None:
-            self._take_config(reply.config_version)
+            self._take_config(reply.config_version, reply.config)
         if self._worker is not None:
             await self._worker.replied(reply, sequence)
 
-    def _take_config(self, version: int) -> None:
+    def _take_config(self, version: int, text: str) -> None:
         """Move up to a version; never down."""
         if version > self._config_version:
             self._config_version = version
+            self._config_text = text
             text = f"Configuration {version} is in force."
             logs.info(logs.Part.CONFIG, text)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -25,7 +25,9 @@
 from standins import platform
 
 BINARY: Final = "dist/kingcuplever"
+# Starting a process costs about a second of one core.
 _READY_S: Final = 30.0
+_READY_S_PER_PROCESS: Final = 1.0
 _POLL_S: Final = 0.05
 _STOP_S: Final = 20.0
 # Below the ports that the kernel gives to outgoing connections; processes
@@ -210,7 +212,9 @@
             except (httpcore.NetworkError, httpcore.TimeoutException):
                 return False
 
-        wait_until(is_ready, f"{entry} ready")
+        count = len(self._processes)
+        timeout_s = _READY_S + count * _READY_S_PER_PROCESS
+        wait_until(is_ready, f"{entry} ready", timeout_s)
 
     def operate(
         self, method: str, path: str, value: Any = None, entry: str = ""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -75,7 +75,7 @@
 
     def all_up() -> bool:
         rows = fleet.rows("workers", entry)
-        return sum(row["status"] == "up" for row in rows) == count
+        return len([r for r in rows if r["status"] == "up"]) == count
 
     fleets.wait_until(all_up, f"{count} workers up")
 
--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 import json
 import time
+from typing import Any
 
 import httpcore
 from standins import callers
@@ -25,7 +26,7 @@
     action: Action,
     at_s: float,
     entries: Sequence[str] = ("e1", "e2"),
-    **call: object,
+    **call: Any,
 ) -> list[callers.Told]:
     """Send keyed requests, and do something to the fleet meanwhile."""
     told: list[callers.Told] = []
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -102,3 +102,31 @@
     assert fleet.stop("jerash-w1") == 0
     assert fleet.stop("e2") == 0
     assert conftest.call_desk(fleet, "e1", "r1").status == 200
+
+
+def test_entry_started_while_the_log_is_down_has_the_newest_version(
+    fleet: fleets.Fleet,
+) -> None:
+    wanted = {"scheduling": {"reclaim_ms": 4000}}
+    status, answer = fleet.intend({"kind": "config", "config": wanted})
+    assert status == 200
+
+    def at_sides() -> bool:
+        shown = fleet.operate("GET", "/v1/config")[1]
+        versions = {side["version"] for side in shown["sides"]}
+        return versions == {answer["version"]}
+
+    fleets.wait_until(at_sides, "the version is at the sides")
+    fleet.control(fleet.options.log.address, mode="down")
+    fleet.kill("e2")
+    fleet.start("e2")
+    fleet.wait_ready("e2")
+
+    def learned() -> bool:
+        shown = fleet.operate("GET", "/v1/config", entry="e2")[1]
+        reclaim_ms = shown["config"]["scheduling"]["reclaim_ms"]
+        return bool(
+            shown["version"] == answer["version"] and reclaim_ms == 4000
+        )
+
+    fleets.wait_until(learned, "the entry learns the version from its sides")
