--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -18,10 +18,11 @@
 from kingcuplever import messages
 from kingcuplever import options
 from kingcuplever.process import commands
-from kingcuplever.process import gangs
 from kingcuplever.process import owner as owners
+from kingcuplever.process import placing
 from kingcuplever.process import planner
 from kingcuplever.process import replay
+from kingcuplever.process import runs
 from kingcuplever.process import state
 from kingcuplever.process import tasks
 from kingcuplever import records
@@ -300,8 +301,8 @@
         self.at(self.now, lambda: self._tick(owner))
         return owner
 
-    def _moment(self) -> owners.Moment:
-        return owners.Moment(self.now, self.wall_ms)
+    def _moment(self) -> placing.Moment:
+        return placing.Moment(self.now, self.wall_ms)
 
     def _tick(self, owner: owners.Owner) -> None:
         if owner is not self.owner:
@@ -452,7 +453,7 @@
         if self.loses():
             return
         name = side.worker.shape.worker
-        report = gangs.Report(
+        report = runs.Report(
             name,
             name,
             side.incarnation,
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -32,17 +32,21 @@
         direct = [target.address for target in fleet.plan.targets]
         entry = [fleet.options.entry["e1"].callers]
         rows = []
-        for name, addresses, keyed in (
-            ("direct to the target", direct, False),
-            ("through one entry", entry, False),
-            ("through one entry, keyed", entry, True),
+        for clients, name, addresses, keyed in (
+            (1, "direct to the target", direct, False),
+            (1, "through one entry", entry, False),
+            (1, "through one entry, keyed", entry, True),
+            (4, "direct to the target", direct, False),
+            (4, "through one entry", entry, False),
+            (4, "through one entry, keyed", entry, True),
         ):
             before = _costs(fleet)
-            latencies = trio.run(_closed_loop, addresses, keyed, 4)
+            latencies = trio.run(_closed_loop, addresses, keyed, clients)
             after = _costs(fleet)
             count = len(latencies)
             rows.append(
                 {
+                    "callers": clients,
                     "path": name,
                     "requests/s": f"{count / _SECONDS:.0f}",
                     "p50 ms": f"{_percentile(latencies, 50) * 1000:.1f}",
@@ -51,7 +55,7 @@
                     "sides ms": f"{(after[1] - before[1]) / count * 1000:.2f}",
                 }
             )
-    print("4 callers in turn, work of 5 ms; processor ms a request")
+    print("callers in a closed loop, work of 5 ms; processor ms a request")
     print(tables.render(rows, list(rows[0])))
     print()
 
--- a/kingcuplever/process/data_centre.py
+++ b/kingcuplever/process/data_centre.py
@@ -21,12 +21,13 @@
 from kingcuplever.process import commands
 from kingcuplever.process import follower
 from kingcuplever.process import fragmentation
-from kingcuplever.process import gangs
 from kingcuplever.process import members
 from kingcuplever.process import metrics
 from kingcuplever.process import owner as owners
 from kingcuplever.process import ownership
+from kingcuplever.process import placing
 from kingcuplever.process import replay
+from kingcuplever.process import runs
 from kingcuplever.process import snapshots
 from kingcuplever.process import state
 from kingcuplever import records
@@ -214,8 +215,8 @@
             await trio.sleep(_TICK_S if mine else _IDLE_TICK_S)
             await self._send.send(_Tick())
 
-    def _moment(self) -> owners.Moment:
-        return owners.Moment(trio.current_time(), _wall_ms())
+    def _moment(self) -> placing.Moment:
+        return placing.Moment(trio.current_time(), _wall_ms())
 
     def _take(self, message: _Inbox) -> None:
         moment = self._moment()
@@ -238,7 +239,7 @@
         else:
             self._step(moment)
 
-    def _take_batch(self, batch: _Batch, moment: owners.Moment) -> None:
+    def _take_batch(self, batch: _Batch, moment: placing.Moment) -> None:
         for item in batch.parsed:
             self._apply(item, moment)
         if batch.at_end and not self._restarting:
@@ -247,7 +248,7 @@
         self._changed = trio.Event()
         changed.set()
 
-    def _apply(self, item: follower.Parsed, moment: owners.Moment) -> None:
+    def _apply(self, item: follower.Parsed, moment: placing.Moment) -> None:
         if self._restarting:
             self._look_for_snapshot(item)
             return
@@ -261,7 +262,7 @@
         self._observe(record, counted)
 
     def _note_ownership(
-        self, record: records.Record, counted: bool, moment: owners.Moment
+        self, record: records.Record, counted: bool, moment: placing.Moment
     ) -> None:
         if not counted:
             return
@@ -299,11 +300,11 @@
         text = f"{self.name} starts from a snapshot at {schedule.offset}."
         logs.info(logs.Part.LOG, text)
 
-    def _take_heartbeat(self, message: _Beat, moment: owners.Moment) -> None:
+    def _take_heartbeat(self, message: _Beat, moment: placing.Moment) -> None:
         heartbeat = message.heartbeat
         assert heartbeat.worker is not None
         worker = heartbeat.worker.worker
-        report = gangs.Report(
+        report = runs.Report(
             heartbeat.side,
             worker,
             heartbeat.incarnation,
@@ -323,7 +324,7 @@
             )
         message.reply.send_nowait(granted)
 
-    def _step(self, moment: owners.Moment) -> None:
+    def _step(self, moment: placing.Moment) -> None:
         step = self._ownership.step(moment.now)
         if step is not ownership.Step.NOTHING and not self._restarting:
             self._claim_or_renew(step, moment)
@@ -336,7 +337,7 @@
         self._update_gauges(moment.now)
 
     def _claim_or_renew(
-        self, step: ownership.Step, moment: owners.Moment
+        self, step: ownership.Step, moment: placing.Moment
     ) -> None:
         ttl_ms = self._timing.owner_lease_ms
         body: records.Body = records.Renewal(ttl_ms)
--- a/kingcuplever/process/gangs.py
+++ b/kingcuplever/process/gangs.py
@@ -7,175 +7,20 @@
 stopped, or when its lease has surely ended.
 """
 
-from collections.abc import Iterator
-import enum
 from typing import Final
-from typing import NamedTuple
 
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever import options
 from kingcuplever.process import commands
-from kingcuplever.process import ledger as ledgers
+from kingcuplever.process import runs
 from kingcuplever import records
-from kingcuplever import shapes
 
-ALIVE: Final = frozenset({messages.RESERVED, messages.RUNNING})
 # A worker's clock may run slower than the owner's by this much.
 _CLOCK_DRIFT: Final = 0.1
 # Reservations outlive the reservation round by this factor.
 _RESERVE_FACTOR: Final = 3
 
-Key = tuple[str, int]
-
-
-class Stage(enum.Enum):
-    """How far a run has come."""
-
-    RESERVING = "reserving"
-    COMMITTING = "committing"
-    RUNNING = "running"
-    STOPPING = "stopping"
-    RELEASING = "releasing"
-    ENDING = "ending"
-
-
-class Report(NamedTuple):
-    """What a side said about its worker, in a heartbeat or an answer.
-
-    :ivar tasks: every task that the side holds.
-    :ivar epoch: the highest epoch that the side has obeyed; reservations
-        that it reports were made in that one.
-    """
-
-    side: str
-    worker: str
-    incarnation: int
-    sequence: int
-    tasks: tuple[messages.TaskState, ...]
-    epoch: int
-
-
-class SideView:
-    """The newest report of the side of one worker.
-
-    :ivar heard_at: when it came, on the owner's clock.
-    """
-
-    def __init__(self, report: Report, now: float) -> None:
-        """Take the first report."""
-        self.incarnation = report.incarnation
-        self.sequence = report.sequence
-        self.epoch = report.epoch
-        self.heard_at = now
-        self.tasks: dict[Key, dict[int, messages.TaskState]] = {}
-
-    def is_newer(self, report: Report) -> bool:
-        """Tell whether a report is newer than what is known."""
-        new = (report.incarnation, report.sequence)
-        return new > (self.incarnation, self.sequence)
-
-    def update(self, report: Report, now: float) -> None:
-        """Take a report in."""
-        self.incarnation = report.incarnation
-        self.sequence = report.sequence
-        self.epoch = report.epoch
-        self.heard_at = now
-        self.tasks = {}
-        for task in report.tasks:
-            key = (task.job, task.attempt)
-            self.tasks.setdefault(key, {})[task.task] = task
-
-
-class Run:
-    """One attempt of a job on its way.
-
-    :ivar since: when the present stage began.
-    :ivar lease_until: no member runs after this, on the owner's clock.
-    """
-
-    def __init__(
-        self,
-        spec: shapes.JobSpec,
-        attempt: int,
-        commit: records.Commit,
-        progress: float,
-    ) -> None:
-        """Start with nothing reserved."""
-        self.spec = spec
-        self.attempt = attempt
-        self.commit = commit
-        self.progress = progress
-        self.stage = Stage.RESERVING
-        self.since = 0.0
-        self.lease_until = 0.0
-        self.final = False
-        self.checkpoint_ms = 0
-        self.reserved: set[str] = set()
-        self.stopped: set[str] = set()
-        self.started: set[str] = set()
-        self.done: set[int] = set()
-        self.checkpoints: dict[int, float] = {}
-        self.proof = "reported"
-        self.members: dict[str, list[int]] = {}
-        for task, slot in enumerate(commit.slots):
-            self.members.setdefault(slot.worker, []).append(task)
-
-    @property
-    def key(self) -> Key:
-        """Job and attempt."""
-        return (self.spec.job, self.attempt)
-
-    @property
-    def name(self) -> str:
-        """Job and attempt, for log lines."""
-        return f"{self.spec.job}#{self.attempt}"
-
-    def enter(self, stage: Stage, now: float) -> None:
-        """Go on to a stage."""
-        self.stage = stage
-        self.since = now
-
-    def open_members(self) -> Iterator[str]:
-        """Give the workers where some task is not done."""
-        for worker, tasks in self.members.items():
-            if not self.done.issuperset(tasks):
-                yield worker
-
-
-class TaskFailed(NamedTuple):
-    """A task failed on a worker."""
-
-    worker: str
-    job: str
-
-
-class TaskDone(NamedTuple):
-    """A task was done on a worker."""
-
-    worker: str
-    job: str
-
-
-class GaveUp(NamedTuple):
-    """A reservation came to nothing.
-
-    :ivar worker: the worker that refused or was silent, or empty.
-    """
-
-    job: str
-    worker: str
-
-
-class Released(NamedTuple):
-    """A reservation is surely gone; its room may be used again."""
-
-    job: str
-    attempt: int
-
-
-Notice = TaskFailed | TaskDone | GaveUp | Released
-
 
 class Gangs:
     """All runs of one owner, and what its workers' sides report.
@@ -191,17 +36,17 @@
         self._reserve_s = timing.reserve_ms / 1000
         self._reserve_ttl_ms = timing.reserve_ms * _RESERVE_FACTOR
         self.epoch = 0
-        self.runs: dict[Key, Run] = {}
-        self.views: dict[str, SideView] = {}
+        self.runs: dict[runs.Key, runs.Run] = {}
+        self.views: dict[str, runs.SideView] = {}
         self.commands: list[commands.Command] = []
-        self.notices: list[Notice] = []
-        self._runs_on: dict[str, set[Key]] = {}
-        self._outstanding: set[tuple[str, Key]] = set()
+        self.notices: list[runs.Notice] = []
+        self._runs_on: dict[str, set[runs.Key]] = {}
+        self._outstanding: set[tuple[str, runs.Key]] = set()
 
-    def begin(self, run: Run, now: float) -> None:
+    def begin(self, run: runs.Run, now: float) -> None:
         """Reserve room for a run on every side."""
         self._add(run)
-        run.enter(Stage.RESERVING, now)
+        run.enter(runs.Stage.RESERVING, now)
         for worker, tasks in run.members.items():
             orders = tuple(self._order_of(run, task) for task in tasks)
             message = messages.Reserve(
@@ -209,7 +54,7 @@
             )
             self._send(worker, run, message)
 
-    def adopt(self, run: Run, stage: Stage, now: float) -> None:
+    def adopt(self, run: runs.Run, stage: runs.Stage, now: float) -> None:
         """Take over a committed run of a past owner.
 
         Its leases may have been prolonged until just now.
@@ -219,35 +64,37 @@
         run.reserved.update(run.members)
         run.lease_until = now + self._lease_s * (1 + _CLOCK_DRIFT)
 
-    def committed(self, key: Key, now: float) -> None:
+    def committed(self, key: runs.Key, now: float) -> None:
         """Start a run whose commit record has been read back."""
         run = self.runs[key]
-        run.enter(Stage.RUNNING, now)
+        run.enter(runs.Stage.RUNNING, now)
         for worker in run.members:
             self._reconcile(run, worker, now)
 
     def vacated(
-        self, key: Key, final: bool, checkpoint_ms: int, now: float
+        self, key: runs.Key, final: bool, checkpoint_ms: int, now: float
     ) -> None:
         """Stop a run whose vacate record has been read back."""
         run = self.runs[key]
-        run.enter(Stage.STOPPING, now)
+        run.enter(runs.Stage.STOPPING, now)
         run.final = final
         run.checkpoint_ms = checkpoint_ms
         for worker in run.members:
             self._reconcile(run, worker, now)
 
-    def abort(self, key: Key, reason: str, worker: str, now: float) -> None:
+    def abort(
+        self, key: runs.Key, reason: str, worker: str, now: float
+    ) -> None:
         """Give up a run that has no commit record."""
         run = self.runs[key]
-        run.enter(Stage.RELEASING, now)
+        run.enter(runs.Stage.RELEASING, now)
         text = f"Gave up the reservation of {run.name}: {reason}."
         self._say(logs.Part.GANG, text)
-        self.notices.append(GaveUp(run.spec.job, worker))
+        self.notices.append(runs.GaveUp(run.spec.job, worker))
         for member in run.members:
             self._reconcile(run, member, now)
 
-    def ended(self, key: Key) -> None:
+    def ended(self, key: runs.Key) -> None:
         """Forget a run whose end has been read back."""
         run = self.runs.pop(key, None)
         if run is None:
@@ -255,20 +102,20 @@
         for worker in run.members:
             self._runs_on[worker].discard(key)
 
-    def hear(self, report: Report, now: float) -> SideView | None:
+    def hear(self, report: runs.Report, now: float) -> runs.SideView | None:
         """Note what a side said, without acting on it.
 
         :return: the view, or ``None`` if a newer report is known.
         """
         view = self.views.get(report.worker)
         if view is None:
-            view = self.views[report.worker] = SideView(report, now)
+            view = self.views[report.worker] = runs.SideView(report, now)
         elif not view.is_newer(report):
             return None
         view.update(report, now)
         return view
 
-    def report(self, report: Report, now: float) -> None:
+    def report(self, report: runs.Report, now: float) -> None:
         """Take in what a side said."""
         view = self.hear(report, now)
         if view is None:
@@ -276,32 +123,34 @@
         for key in sorted(self._runs_on.get(report.worker, ())):
             self._reconcile(self.runs[key], report.worker, now)
         for key, tasks in view.tasks.items():
-            if key not in self.runs and _any_alive(tasks):
+            if key not in self.runs and runs.any_alive(tasks):
                 self._stop_stranger(report.worker, key)
 
-    def answered(self, worker: str, key: Key) -> None:
+    def answered(self, worker: str, key: runs.Key) -> None:
         """Note that an order was answered, or surely will not be."""
         self._outstanding.discard((worker, key))
 
-    def refused(self, worker: str, key: Key, detail: str, now: float) -> None:
+    def refused(
+        self, worker: str, key: runs.Key, detail: str, now: float
+    ) -> None:
         """Note that a side refused a reservation."""
         run = self.runs.get(key)
-        if run is not None and run.stage is Stage.RESERVING:
+        if run is not None and run.stage is runs.Stage.RESERVING:
             self.abort(key, f"{worker} refused: {detail}", worker, now)
 
     def tick(self, now: float) -> None:
         """Act on what did not happen in time."""
         for run in list(self.runs.values()):
-            if run.stage is Stage.RESERVING:
+            if run.stage is runs.Stage.RESERVING:
                 if now - run.since > self._reserve_s:
                     missing = sorted(set(run.members) - run.reserved)
                     reason = f"{missing[0]} did not reserve in time"
                     self.abort(run.key, reason, missing[0], now)
-            elif run.stage is Stage.RUNNING:
+            elif run.stage is runs.Stage.RUNNING:
                 self._check_silence(run, now)
-            elif run.stage is Stage.STOPPING:
+            elif run.stage is runs.Stage.STOPPING:
                 self._check_lapse(run, now)
-            elif run.stage is Stage.RELEASING:
+            elif run.stage is runs.Stage.RELEASING:
                 if now - run.since > self._reserve_ttl_ms / 1000:
                     self._release(run)
 
@@ -316,7 +165,7 @@
         view = self.views.get(worker)
         for key in sorted(self._runs_on.get(worker, ())):
             run = self.runs[key]
-            if view is None or run.stage is not Stage.RUNNING:
+            if view is None or run.stage is not runs.Stage.RUNNING:
                 continue
             if len(run.started) < len(run.members):
                 # Part of the gang alone gets no more than its first lease.
@@ -337,7 +186,7 @@
         return tuple(
             messages.AttemptId(*key)
             for key, tasks in view.tasks.items()
-            if key not in self.runs and not _any_alive(tasks)
+            if key not in self.runs and not runs.any_alive(tasks)
         )
 
     def drop_runs(self) -> None:
@@ -348,29 +197,29 @@
         self.commands.clear()
         self.notices.clear()
 
-    def _add(self, run: Run) -> None:
+    def _add(self, run: runs.Run) -> None:
         self.runs[run.key] = run
         for worker in run.members:
             self._runs_on.setdefault(worker, set()).add(run.key)
 
-    def _reconcile(self, run: Run, worker: str, now: float) -> None:
+    def _reconcile(self, run: runs.Run, worker: str, now: float) -> None:
         """Compare what a side reports with what a run wants of it."""
         view = self.views.get(worker)
         if view is None:
             return
         tasks = view.tasks.get(run.key, {})
         self._note_progress(run, tasks)
-        if run.stage is Stage.RESERVING:
+        if run.stage is runs.Stage.RESERVING:
             # A past owner may have used the same number for an attempt.
             if view.epoch == self.epoch:
                 self._reconcile_reserving(run, worker, tasks, now)
-        elif run.stage is Stage.RUNNING:
+        elif run.stage is runs.Stage.RUNNING:
             self._reconcile_running(run, worker, tasks, now)
-        elif run.stage in (Stage.STOPPING, Stage.RELEASING):
+        elif run.stage in (runs.Stage.STOPPING, runs.Stage.RELEASING):
             self._reconcile_stopping(run, worker, tasks, now)
 
     def _note_progress(
-        self, run: Run, tasks: dict[int, messages.TaskState]
+        self, run: runs.Run, tasks: dict[int, messages.TaskState]
     ) -> None:
         for task, known in tasks.items():
             before = run.checkpoints.get(task, 0.0)
@@ -378,7 +227,7 @@
 
     def _reconcile_reserving(
         self,
-        run: Run,
+        run: runs.Run,
         worker: str,
         tasks: dict[int, messages.TaskState],
         now: float,
@@ -389,12 +238,12 @@
             return
         run.reserved.add(worker)
         if len(run.reserved) == len(run.members):
-            run.enter(Stage.COMMITTING, now)
+            run.enter(runs.Stage.COMMITTING, now)
             self.commands.append(commands.Append(run.commit))
 
     def _reconcile_running(
         self,
-        run: Run,
+        run: runs.Run,
         worker: str,
         tasks: dict[int, messages.TaskState],
         now: float,
@@ -407,7 +256,7 @@
                 self._vacate(run, "broken", f"{worker} lost it", now)
                 return
             if task.phase == messages.FAILED:
-                self.notices.append(TaskFailed(worker, run.spec.job))
+                self.notices.append(runs.TaskFailed(worker, run.spec.job))
                 cause = f"failed on {worker}: {task.detail}"
                 self._vacate(run, "failed", cause, now, worker)
                 return
@@ -417,7 +266,7 @@
                 return
             if task.phase == messages.DONE:
                 run.done.add(number)
-                self.notices.append(TaskDone(worker, run.spec.job))
+                self.notices.append(runs.TaskDone(worker, run.spec.job))
         if any(t.phase == messages.RESERVED for t in tasks.values()):
             self._go(run, worker, now)
         else:
@@ -427,12 +276,12 @@
 
     def _reconcile_stopping(
         self,
-        run: Run,
+        run: runs.Run,
         worker: str,
         tasks: dict[int, messages.TaskState],
         now: float,
     ) -> None:
-        if _any_alive(tasks):
+        if runs.any_alive(tasks):
             message = messages.Stop(self.epoch, *run.key, run.checkpoint_ms)
             self._send(worker, run, message)
             return
@@ -442,16 +291,16 @@
         run.stopped.add(worker)
         if len(run.stopped) < len(run.members):
             return
-        if run.stage is Stage.RELEASING:
+        if run.stage is runs.Stage.RELEASING:
             self._release(run)
         else:
             self._end(run, "vacated", now)
 
-    def _release(self, run: Run) -> None:
+    def _release(self, run: runs.Run) -> None:
         self.ended(run.key)
-        self.notices.append(Released(*run.key))
+        self.notices.append(runs.Released(*run.key))
 
-    def _go(self, run: Run, worker: str, now: float) -> None:
+    def _go(self, run: runs.Run, worker: str, now: float) -> None:
         until = self._shared_until(run)
         if until is None or until <= now:
             return
@@ -461,7 +310,7 @@
         message = messages.Go(self.epoch, *run.key, view.sequence, ttl_ms)
         self._send(worker, run, message)
 
-    def _shared_until(self, run: Run) -> float | None:
+    def _shared_until(self, run: runs.Run) -> float | None:
         """Give the moment at which every member's lease may end."""
         heard = []
         for worker in run.open_members():
@@ -471,12 +320,12 @@
             heard.append(view.heard_at)
         return min(heard) + self._lease_s if heard else None
 
-    def _note_lease(self, run: Run, until: float) -> None:
+    def _note_lease(self, run: runs.Run, until: float) -> None:
         # The owner waits longer than the side by the drift of clocks.
         safe = until + self._lease_s * _CLOCK_DRIFT
         run.lease_until = max(run.lease_until, safe)
 
-    def _check_silence(self, run: Run, now: float) -> None:
+    def _check_silence(self, run: runs.Run, now: float) -> None:
         for worker in run.open_members():
             view = self.views.get(worker)
             heard_at = run.since if view is None else view.heard_at
@@ -485,7 +334,7 @@
                 self._vacate(run, "broken", cause, now)
                 return
 
-    def _check_lapse(self, run: Run, now: float) -> None:
+    def _check_lapse(self, run: runs.Run, now: float) -> None:
         """End a run whose unheard members' leases have surely ended."""
         if now <= run.lease_until:
             return
@@ -499,19 +348,21 @@
 
     def _vacate(
         self,
-        run: Run,
+        run: runs.Run,
         reason: str,
         cause: str,
         now: float,
         worker: str = "",
     ) -> None:
-        run.enter(Stage.ENDING, now)
+        run.enter(runs.Stage.ENDING, now)
         body = records.Vacate(*run.key, reason, cause, worker)
         self.commands.append(commands.Append(body))
         self._say(logs.Part.GANG, f"Stopping {run.name}: {cause}.")
 
-    def _end(self, run: Run, outcome: records.Outcome, now: float) -> None:
-        run.enter(Stage.ENDING, now)
+    def _end(
+        self, run: runs.Run, outcome: records.Outcome, now: float
+    ) -> None:
+        run.enter(runs.Stage.ENDING, now)
         tasks = range(len(run.commit.slots))
         progress = min(run.checkpoints.get(task, 0.0) for task in tasks)
         final = outcome == "done" or run.final
@@ -521,7 +372,7 @@
         self.commands.append(commands.Append(body))
         self._say(logs.Part.GANG, f"Ended {run.name}: {outcome}, {run.proof}.")
 
-    def _stop_stranger(self, worker: str, key: Key) -> None:
+    def _stop_stranger(self, worker: str, key: runs.Key) -> None:
         """Stop an attempt that no record lets run."""
         if (worker, key) in self._outstanding:
             return
@@ -531,7 +382,7 @@
         text = f"Stopping {key[0]}#{key[1]} on {worker}: no record of it."
         self._say(logs.Part.GANG, text)
 
-    def _order_of(self, run: Run, task: int) -> messages.TaskOrder:
+    def _order_of(self, run: runs.Run, task: int) -> messages.TaskOrder:
         slot = run.commit.slots[task]
         shape = run.spec.shape
         return messages.TaskOrder(
@@ -546,7 +397,7 @@
     def _send(
         self,
         worker: str,
-        run: Run,
+        run: runs.Run,
         message: messages.Reserve | messages.Go | messages.Stop,
     ) -> None:
         if (worker, run.key) in self._outstanding:
@@ -556,25 +407,3 @@
 
     def _say(self, part: logs.Part, text: str) -> None:
         self.commands.append(commands.Say(part, text))
-
-
-def hold_run(ledger: ledgers.Ledger, run: Run, ends_at: float) -> None:
-    """Take the room of a run that is not committed yet.
-
-    :param ends_at: when the run is expected to end.
-    """
-    for task, slot in enumerate(run.commit.slots):
-        ledger.hold(
-            ledgers.Holding(
-                run.spec.job,
-                run.attempt,
-                task,
-                slot,
-                run.spec.shape,
-                ends_at,
-            )
-        )
-
-
-def _any_alive(tasks: dict[int, messages.TaskState]) -> bool:
-    return any(task.phase in ALIVE for task in tasks.values())
--- a/kingcuplever/process/members.py
+++ b/kingcuplever/process/members.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import functools
 import hashlib
 from typing import Final
 
@@ -14,6 +15,7 @@
 
 # Points of each side on the ring; more spread keys more evenly.
 _POINTS: Final = 32
+_SIDES_CACHED: Final = 4096
 
 
 class Link:
@@ -114,12 +116,16 @@
 
     def _make_ring(self) -> None:
         self._ring = sorted(
-            (_hash(f"{side}#{point}"), side)
-            for side in self._links
-            for point in range(_POINTS)
+            (point, side) for side in self._links for point in _points(side)
         )
 
 
+@functools.lru_cache(maxsize=_SIDES_CACHED)
+def _points(side: str) -> tuple[int, ...]:
+    """Give the places of a side on the ring."""
+    return tuple(_hash(f"{side}#{number}") for number in range(_POINTS))
+
+
 def _hash(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big")
