Show the reclaim in the demo; say not provable where no case was seen

Cause: the demo asked for its gang before the small jobs ran, so nothing was reclaimed; evidence said kept of a promise with 0 cases looked at.

--- a/kingcuplever/command/evidence.py
+++ b/kingcuplever/command/evidence.py
@@ -149,13 +149,17 @@
     if known is None:
         merged[item.promise] = item
         return
-    verdict = known.verdict
-    if "broken" in (known.verdict, item.verdict):
+    verdicts = (known.verdict, item.verdict)
+    verdict: evidence.Verdict = "not provable"
+    if "kept" in verdicts:
+        verdict = "kept"
+    if "broken" in verdicts:
         verdict = "broken"
+    missing = known.missing or item.missing
     merged[item.promise] = evidence.Judgement(
         item.promise,
         verdict,
         known.checked + item.checked,
         known.findings + item.findings,
-        known.missing or item.missing,
+        missing if verdict == "not provable" else "",
     )
--- a/kingcuplever/process/evidence.py
+++ b/kingcuplever/process/evidence.py
@@ -60,6 +60,8 @@
 
     def judge(self) -> Judgement:
         verdict: Verdict = "kept"
+        if not self.checked and not self.missing:
+            self.missing = "no case of it in the records"
         if self.missing:
             verdict = "not provable"
         if self.findings:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -185,7 +185,11 @@
             }
         )
         for number in range(6):
-            self._submit(f"small-{number}", borrower, place, 1, 4, 5.0)
+            self._submit(f"small-{number}", borrower, place, 1, 4, 8.0)
+        fleets.wait_until(
+            lambda: {row["phase"] for row in self._jobs()} == {"running"},
+            "the small jobs fill the place",
+        )
         self._submit(story.gang, account, place, 2, 8, 3.0)
 
     def _submit(
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -167,3 +167,9 @@
     entries.append(evidence.Entry(3, "", later))
     entries.append(evidence.Entry(4, "", again))
     assert evidence.judge_config("config", entries).verdict == "broken"
+
+
+def test_nothing_is_kept_without_a_case() -> None:
+    found = judge([])
+    assert {item.verdict for item in found.values()} == {"not provable"}
+    assert all(item.missing for item in found.values())
