--- a/kingcuplever/process/data_centre.py
+++ b/kingcuplever/process/data_centre.py
@@ -9,6 +9,7 @@
 import time
 from typing import Final
 from typing import NamedTuple
+from typing import Protocol
 
 import trio
 
@@ -59,7 +60,11 @@
 
 
 class _Restart(NamedTuple):
-    first: int
+    pass
+
+
+class _Restore(NamedTuple):
+    schedule: state.Schedule
 
 
 class _ReadFailed(NamedTuple):
@@ -92,6 +97,7 @@
 _Inbox = (
     _Batch
     | _Restart
+    | _Restore
     | _ReadFailed
     | _Beat
     | _Answered
@@ -155,7 +161,9 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         async with trio.open_nursery() as nursery:
-            reader = follower.Follower(self._log, self.stream, _Sink(self))
+            reader = follower.Follower(
+                self._log, self.stream, StreamSink(self)
+            )
             nursery.start_soon(reader.run, 0)
             nursery.start_soon(self._append_all)
             nursery.start_soon(self._tick)
@@ -224,6 +232,8 @@
             self._take_batch(message, moment)
         elif isinstance(message, _Restart):
             self._restart()
+        elif isinstance(message, _Restore):
+            self._restore(message.schedule)
         elif isinstance(message, _ReadFailed):
             self._ownership.read_failed()
         elif isinstance(message, _Beat):
@@ -249,9 +259,6 @@
         changed.set()
 
     def _apply(self, item: follower.Parsed, moment: placing.Moment) -> None:
-        if self._restarting:
-            self._look_for_snapshot(item)
-            return
         record = item.record
         if record is None:
             replay.skip(self._schedule, item.offset, item.text)
@@ -283,16 +290,8 @@
         self._owner.lose()
         self._restarting = True
 
-    def _look_for_snapshot(self, item: follower.Parsed) -> None:
-        if item.record is None:
-            return
-        if not isinstance(item.record.body, records.Snapshot):
-            return
-        try:
-            schedule = snapshots.read(item.record.body)
-        except plain.FaultyValue as error:
-            logs.warn(logs.Part.LOG, f"A snapshot can't be used: {error}")
-            return
+    def _restore(self, schedule: state.Schedule) -> None:
+        """Go on from the state of a snapshot."""
         self._schedule = schedule
         self._owner = owners.Owner(schedule, self._timing)
         self._owner.set_config(self._config)
@@ -439,19 +438,26 @@
             measures.reclaim_seconds.labels(self.name).observe(seconds)
 
 
-class _Sink:
+class _Poster(Protocol):
+    def post(self, message: _Inbox) -> None: ...
+
+
+class StreamSink:
     """Hands what the follower reads to the data centre's task."""
 
-    def __init__(self, owner: DataCentre) -> None:
+    def __init__(self, owner: _Poster) -> None:
+        """Hand over to the task that owns the state."""
         self._owner = owner
         self._restarting = False
 
     def restart(self, first: int) -> int:
+        """Start over from the oldest record that is there."""
         self._restarting = True
-        self._owner.post(_Restart(first))
+        self._owner.post(_Restart())
         return first
 
     def take(self, batch: log_service.LogBatch) -> int:
+        """Hand a batch over; while starting over, look for a snapshot."""
         parsed = follower.parse(batch)
         after = batch.end
         if batch.records:
@@ -462,6 +468,7 @@
         return after
 
     def read_failed(self) -> None:
+        """Say that the log can't be read at present."""
         self._owner.post(_ReadFailed())
 
     def _take_restarting(
@@ -470,7 +477,10 @@
         batch: log_service.LogBatch,
         after: int,
     ) -> int:
-        """Go back to the offset of the first snapshot that can be used."""
+        """Go back to the offset of the first snapshot that can be used.
+
+        One that can't be read, or whose tail is not whole, is passed over.
+        """
         for item in parsed:
             if item.record is None:
                 continue
@@ -479,8 +489,14 @@
                 continue
             if body.offset < batch.first:
                 continue
+            try:
+                schedule = snapshots.read(body)
+            except plain.FaultyValue as error:
+                text = f"A snapshot can't be used: {error}"
+                logs.warn(logs.Part.LOG, text)
+                continue
             self._restarting = False
-            self._owner.post(_Batch([item], False))
+            self._owner.post(_Restore(schedule))
             return body.offset
         return after
 
--- a/kingcuplever/process/learned.py
+++ b/kingcuplever/process/learned.py
@@ -40,12 +40,6 @@
         whole = spec.declared_s * ratio
         return max(whole - progress_s, whole * _LEAST_REST)
 
-    def expect_rest_s(
-        self, spec: shapes.JobSpec, progress_s: float, elapsed_s: float
-    ) -> float:
-        """Give the run time that is left for a running attempt."""
-        return self.expect_s(spec, progress_s + elapsed_s)
-
 
 def _key(spec: shapes.JobSpec) -> _Key:
     size = (spec.tasks * spec.shape.gpus).bit_length()
--- a/kingcuplever/process/ledger.py
+++ b/kingcuplever/process/ledger.py
@@ -172,10 +172,6 @@
         room.bound_mask &= ~cell.gpu_mask
         self._changed(room)
 
-    def holdings_of(self, job: str, attempt: int) -> list[Holding]:
-        """Give what an attempt holds."""
-        return self._holdings.get((job, attempt), [])
-
     def open_workers(self, need: int) -> Iterator[WorkerRoom]:
         """Give usable workers with an open block, tightest block first."""
         for name in self._open.tightest_first(need):
--- a/kingcuplever/process/owner.py
+++ b/kingcuplever/process/owner.py
@@ -52,11 +52,6 @@
         """Whether decisions are made here."""
         return self._owning
 
-    @property
-    def live_runs(self) -> dict[runs.Key, runs.Run]:
-        """Runs on their way."""
-        return self._gangs.runs
-
     @property
     def waiting(self) -> dict[str, str]:
         """Why each queued job waits, by the job's name."""
--- a/kingcuplever/process/router.py
+++ b/kingcuplever/process/router.py
@@ -53,7 +53,6 @@
     :ivar number: grows with each ticket.
     :ivar deadline: monotonic time after which it must not start.
     :ivar avoid: targets that refused it already.
-    :ivar only_side: the one side that may run it, or empty.
     """
 
     number: int
@@ -61,7 +60,6 @@
     priority: Priority
     deadline: float
     avoid: frozenset[TargetId] = frozenset()
-    only_side: str = ""
 
 
 class Assignment(NamedTuple):
@@ -174,8 +172,6 @@
         chosen = self._choose(ticket, now)
         if chosen is not None:
             return self._assign(ticket, chosen, "free slot")
-        if ticket.only_side:
-            return Refusal(ticket, "the side of its key has no slot", 0.5)
         return self._enqueue(ticket, now)
 
     def release(
@@ -297,8 +293,6 @@
                 continue
             if target.own >= connections or name in ticket.avoid:
                 continue
-            if ticket.only_side and name.side != ticket.only_side:
-                continue
             if not self._let_in(target, now):
                 continue
             expected_s = self._expected_s(target)
--- a/kingcuplever/process/router_task.py
+++ b/kingcuplever/process/router_task.py
@@ -85,7 +85,6 @@
         priority: routers.Priority,
         deadline: float,
         avoid: frozenset[routers.TargetId],
-        only_side: str = "",
     ) -> routers.Verdict:
         """Wait for a target, or for a refusal."""
         ticket = routers.Ticket(
@@ -94,7 +93,6 @@
             priority,
             deadline,
             avoid,
-            only_side,
         )
         send, receive = trio.open_memory_channel[routers.Verdict](1)
         await self._send.send(_Acquire(ticket, send))
--- a/kingcuplever/process/targets.py
+++ b/kingcuplever/process/targets.py
@@ -95,11 +95,6 @@
         self._targets: dict[str, Target] = {}
         self.draining = False
 
-    @property
-    def busy(self) -> int:
-        """Requests in progress at all targets."""
-        return sum(target.busy for target in self._targets.values())
-
     def announce(self, announcement: Announcement, now: float) -> bool:
         """Take an announcement in.
 
