--- a/kingcuplever/connection/http_client.py
+++ b/kingcuplever/connection/http_client.py
@@ -18,6 +18,9 @@
 from kingcuplever import errors
 
 CONNECTIONS_PER_HOST: Final = 60
+# A connection that is not there by then has surely carried no request; a
+# lost opening packet is sent again only after a second.
+CONNECT_TIMEOUT_S: Final = 0.6
 
 
 class Answer(NamedTuple):
@@ -119,7 +122,11 @@
         ]
         try:
             response = await self._pool.request(
-                method, self._base + path, headers=all_headers, content=body
+                method,
+                self._base + path,
+                headers=all_headers,
+                content=body,
+                extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise errors.PlatformFailed(
--- a/kingcuplever/errors.py
+++ b/kingcuplever/errors.py
@@ -29,6 +29,10 @@
     PLAN_STALE = "PLAN_STALE"
     LOG_UNAVAILABLE = "LOG_UNAVAILABLE"
     LOG_GONE = "LOG_GONE"
+    LOG_CONFLICT = "LOG_CONFLICT"
+    FENCED = "FENCED"
+    FORBIDDEN = "FORBIDDEN"
+    GONE = "GONE"
     PEER_LOST = "PEER_LOST"
     PEER_TIMEOUT = "PEER_TIMEOUT"
     PLATFORM_FAILED = "PLATFORM_FAILED"
@@ -86,6 +90,18 @@
     Code.LOG_GONE: CodeFacts(
         410, Run.NOT_RUN, "Start over from the newest snapshot."
     ),
+    Code.LOG_CONFLICT: CodeFacts(
+        409, Run.NOT_RUN, "Read what was appended meanwhile, then try again."
+    ),
+    Code.FENCED: CodeFacts(
+        409, Run.NOT_RUN, "Stop writing; a newer owner has taken over."
+    ),
+    Code.FORBIDDEN: CodeFacts(
+        403, Run.NOT_RUN, "Use a key of the account that owns the job."
+    ),
+    Code.GONE: CodeFacts(
+        410, Run.NOT_RUN, "Check the job's id; ended jobs are forgotten."
+    ),
     Code.PEER_LOST: CodeFacts(
         502, Run.UNKNOWN, "Check the peer's process and the network."
     ),
@@ -138,6 +154,30 @@
     code = Code.LOG_UNAVAILABLE
 
 
+class LogRefused(LogUnavailable):
+    """The log service surely did nothing."""
+
+
+class LogConflict(KingcupleverError):
+    """The topic does not end where a conditional append said.
+
+    :ivar end: the offset where it ends.
+    """
+
+    code = Code.LOG_CONFLICT
+
+    def __init__(self, detail: str, end: int) -> None:
+        """Store where the topic ends."""
+        super().__init__(detail)
+        self.end = end
+
+
+class LogFenced(KingcupleverError):
+    """A producer with a higher epoch, or another sequence, has written."""
+
+    code = Code.FENCED
+
+
 class LogGone(KingcupleverError):
     """The wanted offset has left the log's retention.
 
@@ -182,3 +222,13 @@
         """Store whether the request may have been sent."""
         super().__init__(detail)
         self.sent = sent
+
+
+class ExecutorChanged(KingcupleverError):
+    """Another life of the worker answered; the meant one is over."""
+
+
+class ExecutorFenced(KingcupleverError):
+    """The worker obeys an owner with a higher epoch."""
+
+    code = Code.FENCED
--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -2007,6 +2007,924 @@
         return not (self == other)
 
 
+class RunningRow(object):
+    """
+    Attributes:
+     - task
+     - run
+     - saved
+     - percent
+     - usage
+
+    """
+
+
+    def __init__(self, task=None, run=None, saved=None, percent=None, usage=None,):
+        self.task = task
+        self.run = run
+        self.saved = saved
+        self.percent = percent
+        self.usage = usage
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.run = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.saved = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.usage = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RunningRow')
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 1)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.I32, 2)
+            oprot.writeI32(self.run)
+            oprot.writeFieldEnd()
+        if self.saved is not None:
+            oprot.writeFieldBegin('saved', TType.STRING, 3)
+            oprot.writeString(self.saved.encode('utf-8') if sys.version_info[0] == 2 else self.saved)
+            oprot.writeFieldEnd()
+        if self.percent is not None:
+            oprot.writeFieldBegin('percent', TType.I32, 4)
+            oprot.writeI32(self.percent)
+            oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.I64, 5)
+            oprot.writeI64(self.usage)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndedRow(object):
+    """
+    Attributes:
+     - number
+     - task
+     - run
+     - outcome
+     - saved
+
+    """
+
+
+    def __init__(self, number=None, task=None, run=None, outcome=None, saved=None,):
+        self.number = number
+        self.task = task
+        self.run = run
+        self.outcome = outcome
+        self.saved = saved
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.run = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.saved = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndedRow')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 2)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.I32, 3)
+            oprot.writeI32(self.run)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 4)
+            oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
+            oprot.writeFieldEnd()
+        if self.saved is not None:
+            oprot.writeFieldBegin('saved', TType.STRING, 5)
+            oprot.writeString(self.saved.encode('utf-8') if sys.version_info[0] == 2 else self.saved)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RefusedRow(object):
+    """
+    Attributes:
+     - task
+     - run
+     - reason
+
+    """
+
+
+    def __init__(self, task=None, run=None, reason=None,):
+        self.task = task
+        self.run = run
+        self.reason = reason
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.run = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RefusedRow')
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 1)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.I32, 2)
+            oprot.writeI32(self.run)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 3)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WorkerReport(object):
+    """
+    Attributes:
+     - worker
+     - side
+     - data_centre
+     - pool
+     - cpu_milli
+     - memory_mb
+     - gpus
+     - labels
+     - draining
+     - remaining_ms
+     - gone
+     - running
+     - ended
+     - refused
+
+    """
+
+
+    def __init__(self, worker=None, side=None, data_centre=None, pool=None, cpu_milli=None, memory_mb=None, gpus=None, labels=None, draining=None, remaining_ms=None, gone=None, running=None, ended=None, refused=None,):
+        self.worker = worker
+        self.side = side
+        self.data_centre = data_centre
+        self.pool = pool
+        self.cpu_milli = cpu_milli
+        self.memory_mb = memory_mb
+        self.gpus = gpus
+        self.labels = labels
+        self.draining = draining
+        self.remaining_ms = remaining_ms
+        self.gone = gone
+        self.running = running
+        self.ended = ended
+        self.refused = refused
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.side = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.pool = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.cpu_milli = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.memory_mb = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.gpus = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.labels = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.remaining_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.running = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = RunningRow()
+                        _elem67.read(iprot)
+                        self.running.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.ended = []
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = EndedRow()
+                        _elem73.read(iprot)
+                        self.ended.append(_elem73)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.refused = []
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = RefusedRow()
+                        _elem79.read(iprot)
+                        self.refused.append(_elem79)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkerReport')
+        if self.worker is not None:
+            oprot.writeFieldBegin('worker', TType.STRING, 1)
+            oprot.writeString(self.worker.encode('utf-8') if sys.version_info[0] == 2 else self.worker)
+            oprot.writeFieldEnd()
+        if self.side is not None:
+            oprot.writeFieldBegin('side', TType.STRING, 2)
+            oprot.writeString(self.side.encode('utf-8') if sys.version_info[0] == 2 else self.side)
+            oprot.writeFieldEnd()
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 3)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.STRING, 4)
+            oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
+            oprot.writeFieldEnd()
+        if self.cpu_milli is not None:
+            oprot.writeFieldBegin('cpu_milli', TType.I64, 5)
+            oprot.writeI64(self.cpu_milli)
+            oprot.writeFieldEnd()
+        if self.memory_mb is not None:
+            oprot.writeFieldBegin('memory_mb', TType.I64, 6)
+            oprot.writeI64(self.memory_mb)
+            oprot.writeFieldEnd()
+        if self.gpus is not None:
+            oprot.writeFieldBegin('gpus', TType.I32, 7)
+            oprot.writeI32(self.gpus)
+            oprot.writeFieldEnd()
+        if self.labels is not None:
+            oprot.writeFieldBegin('labels', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.labels))
+            for iter80 in self.labels:
+                oprot.writeString(iter80.encode('utf-8') if sys.version_info[0] == 2 else iter80)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.draining is not None:
+            oprot.writeFieldBegin('draining', TType.BOOL, 9)
+            oprot.writeBool(self.draining)
+            oprot.writeFieldEnd()
+        if self.remaining_ms is not None:
+            oprot.writeFieldBegin('remaining_ms', TType.I64, 10)
+            oprot.writeI64(self.remaining_ms)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 11)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.running))
+            for iter81 in self.running:
+                iter81.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.ended))
+            for iter82 in self.ended:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.refused))
+            for iter83 in self.refused:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WorkerReply(object):
+    """
+    Attributes:
+     - epoch
+
+    """
+
+
+    def __init__(self, epoch=None,):
+        self.epoch = epoch
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkerReply')
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 1)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StartRow(object):
+    """
+    Attributes:
+     - task
+     - run
+     - payload
+     - saved
+
+    """
+
+
+    def __init__(self, task=None, run=None, payload=None, saved=None,):
+        self.task = task
+        self.run = run
+        self.payload = payload
+        self.saved = saved
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.run = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.payload = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.saved = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StartRow')
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 1)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.I32, 2)
+            oprot.writeI32(self.run)
+            oprot.writeFieldEnd()
+        if self.payload is not None:
+            oprot.writeFieldBegin('payload', TType.STRING, 3)
+            oprot.writeString(self.payload.encode('utf-8') if sys.version_info[0] == 2 else self.payload)
+            oprot.writeFieldEnd()
+        if self.saved is not None:
+            oprot.writeFieldBegin('saved', TType.STRING, 4)
+            oprot.writeString(self.saved.encode('utf-8') if sys.version_info[0] == 2 else self.saved)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StopRow(object):
+    """
+    Attributes:
+     - task
+     - run
+
+    """
+
+
+    def __init__(self, task=None, run=None,):
+        self.task = task
+        self.run = run
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.run = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StopRow')
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 1)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.I32, 2)
+            oprot.writeI32(self.run)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class WorkerOrders(object):
+    """
+    Attributes:
+     - epoch
+     - number
+     - worker
+     - starts
+     - stops
+     - acked
+
+    """
+
+
+    def __init__(self, epoch=None, number=None, worker=None, starts=None, stops=None, acked=None,):
+        self.epoch = epoch
+        self.number = number
+        self.worker = worker
+        self.starts = starts
+        self.stops = stops
+        self.acked = acked
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.worker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.starts = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = StartRow()
+                        _elem89.read(iprot)
+                        self.starts.append(_elem89)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.stops = []
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = StopRow()
+                        _elem95.read(iprot)
+                        self.stops.append(_elem95)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.acked = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('WorkerOrders')
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 1)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 2)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.worker is not None:
+            oprot.writeFieldBegin('worker', TType.STRING, 3)
+            oprot.writeString(self.worker.encode('utf-8') if sys.version_info[0] == 2 else self.worker)
+            oprot.writeFieldEnd()
+        if self.starts is not None:
+            oprot.writeFieldBegin('starts', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.starts))
+            for iter96 in self.starts:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.stops is not None:
+            oprot.writeFieldBegin('stops', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.stops))
+            for iter97 in self.stops:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.acked is not None:
+            oprot.writeFieldBegin('acked', TType.I64, 6)
+            oprot.writeI64(self.acked)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OrdersTaken(object):
+    """
+    Attributes:
+     - number
+
+    """
+
+
+    def __init__(self, number=None,):
+        self.number = number
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OrdersTaken')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerError(object):
     """
     Attributes:
@@ -2090,11 +3008,15 @@
      - peer_error
      - claim
      - claim_reply
+     - worker_report
+     - worker_reply
+     - worker_orders
+     - orders_taken
 
     """
 
 
-    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, reserve=None, go=None, stop=None, throttle=None, task_report=None, peer_error=None, claim=None, claim_reply=None,):
+    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, reserve=None, go=None, stop=None, throttle=None, task_report=None, peer_error=None, claim=None, claim_reply=None, worker_report=None, worker_reply=None, worker_orders=None, orders_taken=None,):
         self.heartbeat = heartbeat
         self.heartbeat_reply = heartbeat_reply
         self.dispatch = dispatch
@@ -2107,6 +3029,10 @@
         self.peer_error = peer_error
         self.claim = claim
         self.claim_reply = claim_reply
+        self.worker_report = worker_report
+        self.worker_reply = worker_reply
+        self.worker_orders = worker_orders
+        self.orders_taken = orders_taken
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2189,6 +3115,30 @@
                     self.claim_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.worker_report = WorkerReport()
+                    self.worker_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.worker_reply = WorkerReply()
+                    self.worker_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.worker_orders = WorkerOrders()
+                    self.worker_orders.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.orders_taken = OrdersTaken()
+                    self.orders_taken.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2247,6 +3197,22 @@
             oprot.writeFieldBegin('claim_reply', TType.STRUCT, 12)
             self.claim_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.worker_report is not None:
+            oprot.writeFieldBegin('worker_report', TType.STRUCT, 13)
+            self.worker_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.worker_reply is not None:
+            oprot.writeFieldBegin('worker_reply', TType.STRUCT, 14)
+            self.worker_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.worker_orders is not None:
+            oprot.writeFieldBegin('worker_orders', TType.STRUCT, 15)
+            self.worker_orders.write(oprot)
+            oprot.writeFieldEnd()
+        if self.orders_taken is not None:
+            oprot.writeFieldBegin('orders_taken', TType.STRUCT, 16)
+            self.orders_taken.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2514,6 +3480,83 @@
     (6, TType.LIST, 'tasks', (TType.STRUCT, [TaskState, None], False), None, ),  # 6
     (7, TType.I64, 'epoch', None, None, ),  # 7
 )
+all_structs.append(RunningRow)
+RunningRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'run', None, None, ),  # 2
+    (3, TType.STRING, 'saved', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'percent', None, None, ),  # 4
+    (5, TType.I64, 'usage', None, None, ),  # 5
+)
+all_structs.append(EndedRow)
+EndedRow.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'task', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'run', None, None, ),  # 3
+    (4, TType.STRING, 'outcome', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'saved', 'UTF8', None, ),  # 5
+)
+all_structs.append(RefusedRow)
+RefusedRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'run', None, None, ),  # 2
+    (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
+)
+all_structs.append(WorkerReport)
+WorkerReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'side', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'data_centre', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'pool', 'UTF8', None, ),  # 4
+    (5, TType.I64, 'cpu_milli', None, None, ),  # 5
+    (6, TType.I64, 'memory_mb', None, None, ),  # 6
+    (7, TType.I32, 'gpus', None, None, ),  # 7
+    (8, TType.LIST, 'labels', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.BOOL, 'draining', None, None, ),  # 9
+    (10, TType.I64, 'remaining_ms', None, None, ),  # 10
+    (11, TType.BOOL, 'gone', None, None, ),  # 11
+    (12, TType.LIST, 'running', (TType.STRUCT, [RunningRow, None], False), None, ),  # 12
+    (13, TType.LIST, 'ended', (TType.STRUCT, [EndedRow, None], False), None, ),  # 13
+    (14, TType.LIST, 'refused', (TType.STRUCT, [RefusedRow, None], False), None, ),  # 14
+)
+all_structs.append(WorkerReply)
+WorkerReply.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'epoch', None, None, ),  # 1
+)
+all_structs.append(StartRow)
+StartRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'run', None, None, ),  # 2
+    (3, TType.STRING, 'payload', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'saved', 'UTF8', None, ),  # 4
+)
+all_structs.append(StopRow)
+StopRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'run', None, None, ),  # 2
+)
+all_structs.append(WorkerOrders)
+WorkerOrders.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'epoch', None, None, ),  # 1
+    (2, TType.I64, 'number', None, None, ),  # 2
+    (3, TType.STRING, 'worker', 'UTF8', None, ),  # 3
+    (4, TType.LIST, 'starts', (TType.STRUCT, [StartRow, None], False), None, ),  # 4
+    (5, TType.LIST, 'stops', (TType.STRUCT, [StopRow, None], False), None, ),  # 5
+    (6, TType.I64, 'acked', None, None, ),  # 6
+)
+all_structs.append(OrdersTaken)
+OrdersTaken.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+)
 all_structs.append(PeerError)
 PeerError.thrift_spec = (
     None,  # 0
@@ -2535,6 +3578,10 @@
     (10, TType.STRUCT, 'peer_error', [PeerError, None], None, ),  # 10
     (11, TType.STRUCT, 'claim', [Claim, None], None, ),  # 11
     (12, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 12
+    (13, TType.STRUCT, 'worker_report', [WorkerReport, None], None, ),  # 13
+    (14, TType.STRUCT, 'worker_reply', [WorkerReply, None], None, ),  # 14
+    (15, TType.STRUCT, 'worker_orders', [WorkerOrders, None], None, ),  # 15
+    (16, TType.STRUCT, 'orders_taken', [OrdersTaken, None], None, ),  # 16
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -268,6 +268,101 @@
     epoch: int
 
 
+class RunningRow(NamedTuple):
+    """A task that a worker lists as running."""
+
+    task: str
+    run: int
+    saved: str
+    percent: int
+    usage: int
+
+
+class EndedRow(NamedTuple):
+    """An end that a worker lists."""
+
+    number: int
+    task: str
+    run: int
+    outcome: str
+    saved: str
+
+
+class RefusedRow(NamedTuple):
+    """A start that is surely not carried out, now or later."""
+
+    task: str
+    run: int
+    reason: str
+
+
+class WorkerReport(NamedTuple):
+    """What a side tells the owner about its worker.
+
+    :ivar worker: name of the worker's present life, with its side's.
+    :ivar remaining_ms: least time until a draining worker leaves.
+    :ivar gone: this life has ended; nothing runs there any more.
+    """
+
+    worker: str
+    side: str
+    data_centre: str
+    pool: str
+    cpu_milli: int
+    memory_mb: int
+    gpus: int
+    labels: tuple[str, ...]
+    draining: bool
+    remaining_ms: int
+    gone: bool
+    running: tuple[RunningRow, ...]
+    ended: tuple[EndedRow, ...]
+    refused: tuple[RefusedRow, ...]
+
+
+class WorkerReply(NamedTuple):
+    """The owner has heard a side's report."""
+
+    epoch: int
+
+
+class StartRow(NamedTuple):
+    """A task to start."""
+
+    task: str
+    run: int
+    payload: str
+    saved: str
+
+
+class StopRow(NamedTuple):
+    """A run that must end."""
+
+    task: str
+    run: int
+
+
+class WorkerOrders(NamedTuple):
+    """All that the owner wants of a worker and has not seen done.
+
+    :ivar number: grows within the epoch; an older one changes nothing.
+    :ivar acked: ends up to this number are kept and may be forgotten.
+    """
+
+    epoch: int
+    number: int
+    worker: str
+    starts: tuple[StartRow, ...]
+    stops: tuple[StopRow, ...]
+    acked: int
+
+
+class OrdersTaken(NamedTuple):
+    """A side has taken orders; its reports tell what came of them."""
+
+    number: int
+
+
 class PeerError(NamedTuple):
     """The peer could not serve the request."""
 
@@ -288,4 +383,8 @@
     | PeerError
     | Claim
     | ClaimReply
+    | WorkerReport
+    | WorkerReply
+    | WorkerOrders
+    | OrdersTaken
 )
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -86,6 +86,40 @@
   5: string detail, 6: list<TaskState> tasks, 7: i64 epoch
 }
 
+struct RunningRow {
+  1: string task, 2: i32 run, 3: string saved, 4: i32 percent, 5: i64 usage
+}
+
+struct EndedRow {
+  1: i64 number, 2: string task, 3: i32 run, 4: string outcome,
+  5: string saved
+}
+
+struct RefusedRow { 1: string task, 2: i32 run, 3: string reason }
+
+struct WorkerReport {
+  1: string worker, 2: string side, 3: string data_centre, 4: string pool,
+  5: i64 cpu_milli, 6: i64 memory_mb, 7: i32 gpus, 8: list<string> labels,
+  9: bool draining, 10: i64 remaining_ms, 11: bool gone,
+  12: list<RunningRow> running, 13: list<EndedRow> ended,
+  14: list<RefusedRow> refused
+}
+
+struct WorkerReply { 1: i64 epoch }
+
+struct StartRow {
+  1: string task, 2: i32 run, 3: string payload, 4: string saved
+}
+
+struct StopRow { 1: string task, 2: i32 run }
+
+struct WorkerOrders {
+  1: i64 epoch, 2: i64 number, 3: string worker, 4: list<StartRow> starts,
+  5: list<StopRow> stops, 6: i64 acked
+}
+
+struct OrdersTaken { 1: i64 number }
+
 struct PeerError { 1: string code, 2: string detail }
 
 union Body {
@@ -93,7 +127,9 @@
   3: Dispatch dispatch, 4: DispatchReply dispatch_reply,
   5: Reserve reserve, 6: Go go, 7: Stop stop, 8: Throttle throttle,
   9: TaskReport task_report, 10: PeerError peer_error, 11: Claim claim,
-  12: ClaimReply claim_reply
+  12: ClaimReply claim_reply, 13: WorkerReport worker_report,
+  14: WorkerReply worker_reply, 15: WorkerOrders worker_orders,
+  16: OrdersTaken orders_taken
 }
 
 struct Frame { 1: i64 id, 2: bool reply, 3: Body body }
--- /dev/null
+++ b/kingcuplever/platform/__main__.py
@@ -0,0 +1,34 @@
+"""Starts a process of the platform: ``python3 -m kingcuplever.platform``."""
+
+import argparse
+import sys
+
+import trio
+
+from kingcuplever import errors
+from kingcuplever import logs
+from kingcuplever.platform import roles
+from kingcuplever.platform import settings
+
+
+def main() -> int:
+    """Run the role that the command line names.
+
+    :return: the exit code.
+    """
+    parser = argparse.ArgumentParser(prog="kingcuplever.platform")
+    parser.add_argument("role", choices=("entry", "side"))
+    role = parser.parse_args().role
+    try:
+        host = settings.load()
+    except errors.SettingsError as error:
+        print(error.detail, file=sys.stderr)
+        return 2
+    logs.set_up(host.name)
+    run = roles.run_entry if role == "entry" else roles.run_side
+    trio.run(run, host)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/kingcuplever/platform/roles.py
@@ -0,0 +1,214 @@
+"""Puts the processes of the platform together: an entry, and a side."""
+
+from collections.abc import Sequence
+import contextlib
+import secrets
+from typing import Final
+
+import trio
+
+from kingcuplever.connection import http_client
+from kingcuplever.connection import http_server
+from kingcuplever.connection import keyed_log
+from kingcuplever import errors
+from kingcuplever import logs
+from kingcuplever.platform import executor
+from kingcuplever.platform import front
+from kingcuplever.platform import queues
+from kingcuplever.platform import settings
+from kingcuplever.platform import store
+from kingcuplever.process import job_desk
+from kingcuplever.process import job_owner
+from kingcuplever.process import leases
+from kingcuplever.process import owner_link
+from kingcuplever.process.scheduling import scheduler as schedulers
+from kingcuplever.process import signals
+from kingcuplever.process.stored import following
+from kingcuplever.process.stored import job_board
+from kingcuplever.process.stored import job_records
+from kingcuplever.process.stored import producing
+from kingcuplever.process import worker_agent
+from kingcuplever.version import job_queues
+
+# The operator's records and the owner's announcements are few; they are
+# read as soon as they come.
+_RARE_PACE_S: Final = 0.02
+# The balancer leaves a host alone after two failed probes, a second apart.
+_LEAVE_S: Final = 2.5
+
+
+class _ConfigSink:
+    """Hands every newer configuration to the parts that use one."""
+
+    def __init__(self, fronts: front.Front, owner: job_owner.JobOwner) -> None:
+        self._front = fronts
+        self._owner = owner
+
+    def take(self, records: Sequence[keyed_log.StoredRecord]) -> None:
+        """Use the newest readable configuration; never an older one."""
+        for stored in records:
+            if stored.key != queues.CONFIG_KEY or stored.value is None:
+                continue
+            try:
+                newer = queues.decode_config(stored.value)
+            except errors.InvalidRequest as error:
+                logs.warn(logs.Part.CONFIG, error.detail)
+                continue
+            self._use(newer)
+
+    def start_over(self) -> None:
+        """Expect the newest record again; what is in force stays."""
+
+    def _use(self, newer: job_queues.JobQueues) -> None:
+        present = self._front.queues
+        if present is not None and newer.version <= present.version:
+            return
+        self._front.queues = newer
+        self._owner.set_policy(newer.policy)
+        text = (
+            f"Configuration {newer.version} is in force:"
+            f" {len(newer.routes)} queues, {len(newer.accounts)} keys."
+        )
+        logs.info(logs.Part.CONFIG, text)
+
+
+async def run_entry(host: settings.HostSettings) -> None:
+    """Run an entry until SIGTERM."""
+    async with contextlib.AsyncExitStack() as stack:
+        client = await stack.enter_async_context(
+            http_client.HttpClient(host.log, leases.ALONE_S)
+        )
+        log = store.Store(client)
+        board = job_board.JobBoard()
+        follower = following.Follower(
+            log, job_records.TOPIC, board, job_owner.FOLLOWER_PACE_S
+        )
+
+        def make_producer() -> producing.Producer:
+            name = f"{host.name}.{secrets.token_hex(6)}"
+            return producing.Producer(log, job_records.TOPIC, name, 1)
+
+        appender = producing.GroupAppender(make_producer)
+        desk = job_desk.JobDesk(board, follower, appender)
+        fronts = front.Front(desk)
+        timing = schedulers.Timing(
+            leases.lost_after_s(host.lease_ms / 1000), host.status_s
+        )
+        owner = job_owner.JobOwner(
+            host.name,
+            host.peers,
+            host.strength,
+            log,
+            follower,
+            board,
+            timing,
+        )
+        sink = _ConfigSink(fronts, owner)
+        operator = following.Follower(log, queues.TOPIC, sink, _RARE_PACE_S)
+        async with trio.open_nursery() as nursery:
+            for task in (
+                follower.run,
+                operator.run,
+                appender.run,
+                owner.run,
+            ):
+                nursery.start_soon(task)
+            await _serve_callers(host, fronts, desk, owner)
+            nursery.cancel_scope.cancel()
+
+
+async def _serve_callers(
+    host: settings.HostSettings,
+    fronts: front.Front,
+    desk: job_desk.JobDesk,
+    owner: job_owner.JobOwner,
+) -> None:
+    stop = trio.Event()
+    leaving = trio.Event()
+
+    async def ready(
+        request: http_server.HttpRequest,
+    ) -> http_server.HttpResponse:
+        is_ready = (
+            fronts.queues is not None
+            and desk.is_fresh
+            and not leaving.is_set()
+        )
+        return http_server.HttpResponse(200 if is_ready else 503, (), b"")
+
+    async with trio.open_nursery() as listeners:
+        await listeners.start(http_server.serve, host.health, ready, stop)
+        await listeners.start(
+            http_server.serve, host.callers, fronts.handle, stop
+        )
+        logs.info(logs.Part.PROCESS, f"Entry {host.name} runs.")
+        await signals.wait_for_stop()
+        logs.info(logs.Part.PROCESS, f"Entry {host.name} drains.")
+        leaving.set()
+        await owner.resign()
+        await trio.sleep(min(_LEAVE_S, host.grace_s / 2))
+        stop.set()
+    logs.info(logs.Part.PROCESS, f"Entry {host.name} ends.")
+
+
+async def run_side(host: settings.HostSettings) -> None:
+    """Run a side until SIGTERM."""
+    async with contextlib.AsyncExitStack() as stack:
+        log_client = await stack.enter_async_context(
+            http_client.HttpClient(host.log, leases.ALONE_S)
+        )
+        worker_client = await stack.enter_async_context(
+            http_client.HttpClient(host.worker, leases.ALONE_S)
+        )
+        agent = worker_agent.WorkerAgent(
+            host.name, executor.Executor(worker_client), host.lease_ms
+        )
+        sink = owner_link.OwnerSink()
+        follower = following.Follower(
+            store.Store(log_client),
+            owner_link.TOPIC,
+            sink,
+            _RARE_PACE_S,
+            _SIDE_POLL_MS,
+        )
+        link = owner_link.OwnerLink(sink, agent)
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            for task in (agent.run, follower.run, link.run):
+                nursery.start_soon(task)
+            await nursery.start(
+                http_server.serve, host.registry, _registry(agent), stop
+            )
+            logs.info(logs.Part.PROCESS, f"Side {host.name} runs.")
+            await signals.wait_for_stop()
+            logs.info(logs.Part.PROCESS, f"Side {host.name} ends.")
+            nursery.cancel_scope.cancel()
+
+
+# Sides are many and owners change rarely; a silent connection hides a new
+# owner for this long at most.
+_SIDE_POLL_MS: Final = 4000
+_INSTANCES: Final = "/instances/"
+
+
+def _registry(agent: worker_agent.WorkerAgent) -> http_server.Handler:
+    """Make the handler of the worker's registrations."""
+
+    async def handle(
+        request: http_server.HttpRequest,
+    ) -> http_server.HttpResponse:
+        life = request.path.removeprefix(_INSTANCES)
+        if not life or life == request.path:
+            raise errors.KingcupleverError(
+                f"There is no {request.path} here.", errors.Code.NOT_FOUND
+            )
+        if request.method == "PUT":
+            document = http_server.parse_json(request.body)
+            agent.registered(executor.decode_registration(life, document))
+        elif request.method == "DELETE":
+            agent.left(life)
+        else:
+            raise errors.InvalidRequest(f"No {request.method} here.")
+        return http_server.json_response({})
+
+    return handle
--- /dev/null
+++ b/kingcuplever/process/owner_link.py
@@ -0,0 +1,149 @@
+"""A side's link to the entry that schedules its worker.
+
+The side learns from the log who owns, dials that entry, and reports its
+worker on every change and at least once a period.
+"""
+
+from collections.abc import Sequence
+import json
+from typing import Final
+
+import trio
+
+from kingcuplever.connection import keyed_log
+from kingcuplever.connection import peer as peers
+from kingcuplever import errors
+from kingcuplever import logs
+from kingcuplever import messages
+from kingcuplever import options
+from kingcuplever.process.stored import job_records
+from kingcuplever.process import worker_agent
+
+TOPIC: Final = "owner"
+
+# A side reports at least so often; the owner places no work on a worker
+# that it has not heard for some of these.
+_PERIOD_S: Final = 1.0
+# How long a report may stay unanswered before the link is dialled anew.
+_ANSWER_S: Final = 1.5
+_RECONNECT_S: Final = 0.25
+
+
+def announcement(owner: job_records.Owner) -> keyed_log.KeyedRecord:
+    """Make the record that tells sides who owns."""
+    data = json.dumps(list(owner), separators=(",", ":")).encode()
+    return keyed_log.KeyedRecord(job_records.OWNER_KEY, data)
+
+
+class OwnerSink:
+    """Remembers the newest announcement of an owner."""
+
+    def __init__(self) -> None:
+        """Know no owner yet."""
+        self.owner: job_records.Owner | None = None
+        self.changed = trio.Event()
+
+    def take(self, records: Sequence[keyed_log.StoredRecord]) -> None:
+        """Apply records of the topic."""
+        for stored in records:
+            try:
+                record = job_records.read(stored)
+            except ValueError as error:
+                logs.warn(logs.Part.OWNER, f"Left out: {error}")
+                continue
+            if not isinstance(record, job_records.Owner):
+                continue
+            if self.owner is None or record.epoch > self.owner.epoch:
+                self.owner = record
+                self.changed.set()
+                self.changed = trio.Event()
+
+    def start_over(self) -> None:
+        """Expect the newest record again; what is known stays."""
+
+
+class OwnerLink:
+    """Keeps one connection to the present owner."""
+
+    def __init__(
+        self, sink: OwnerSink, agent: worker_agent.WorkerAgent
+    ) -> None:
+        """Link an agent to whoever owns."""
+        self._sink = sink
+        self._agent = agent
+
+    async def run(self) -> None:
+        """Keep linked until cancelled."""
+        while True:
+            owner = self._sink.owner
+            changed = self._sink.changed
+            if owner is None:
+                await changed.wait()
+                continue
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_when, changed, nursery)
+                await self._live(owner)
+                await trio.sleep(_RECONNECT_S)
+                nursery.cancel_scope.cancel()
+
+    async def _live(self, owner: job_records.Owner) -> None:
+        """Dial an owner and report until the link ends."""
+        host, port = options.split_address(owner.address)
+        try:
+            with trio.fail_after(_ANSWER_S):
+                stream = await trio.open_tcp_stream(host, port)
+        except (OSError, trio.TooSlowError) as error:
+            text = f"Owner {owner.entry} can't be dialled: {error!r}"
+            logs.warn(logs.Part.OWNER, text)
+            return
+        peer = peers.Peer(stream, self._serve)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_read, peer, nursery)
+                await self._report(peer, owner)
+                nursery.cancel_scope.cancel()
+        except* errors.KingcupleverError as group:
+            text = f"Link to {owner.entry} ended: {group.exceptions[0]}"
+            logs.warn(logs.Part.OWNER, text)
+        finally:
+            with trio.CancelScope(shield=True):
+                await peer.close()
+
+    async def _report(
+        self, peer: peers.Peer, owner: job_records.Owner
+    ) -> None:
+        text = f"Linked to {owner.entry}, epoch {owner.epoch}."
+        logs.info(logs.Part.OWNER, text)
+        while True:
+            changed = self._agent.changed
+            rows = self._agent.reports()
+            for row in rows:
+                reply = await peer.call(row, _ANSWER_S)
+                if not isinstance(reply, messages.WorkerReply):
+                    raise errors.InvalidRequest("The owner sent no reply.")
+                self._agent.reported(row)
+                self._agent.heard_owner(reply.epoch)
+            if not rows:
+                # Orders need an epoch, and so does the first list.
+                self._agent.heard_owner(owner.epoch)
+            with trio.move_on_after(_PERIOD_S):
+                await changed.wait()
+
+    async def _serve(
+        self, peer: peers.Peer, message: messages.Message
+    ) -> messages.Message:
+        if not isinstance(message, messages.WorkerOrders):
+            raise errors.InvalidRequest("A side takes orders only.")
+        if not self._agent.take_orders(message):
+            raise errors.ExecutorFenced("A newer owner is known here.")
+        return messages.OrdersTaken(message.number)
+
+
+async def _read(peer: peers.Peer, nursery: trio.Nursery) -> None:
+    await peer.run()
+    nursery.cancel_scope.cancel()
+
+
+async def _cancel_when(event: trio.Event, nursery: trio.Nursery) -> None:
+    await event.wait()
+    nursery.cancel_scope.cancel()
--- /dev/null
+++ b/kingcuplever/process/scheduling/fleet.py
@@ -0,0 +1,207 @@
+"""The workers as the owner knows them, and the room that is left on each.
+
+A worker is one life of an executor on one host.  Its name holds the name of
+the side beside it, so that a newer life on the same host shows that the
+older one is gone.
+"""
+
+from typing import NamedTuple
+
+from kingcuplever.process.scheduling import model
+
+
+class RunId(NamedTuple):
+    """Names one start of one task."""
+
+    task: str
+    run: int
+
+
+class StartOrder(NamedTuple):
+    """Asks a worker to start a task.
+
+    :ivar saved: checkpoint to go on from, or empty.
+    """
+
+    task: str
+    run: int
+    payload: str
+    saved: str
+
+
+class RunningTask(NamedTuple):
+    """A task that a worker lists as running.
+
+    :ivar saved: its newest checkpoint, or empty.
+    :ivar percent: share of its work that is done.
+    :ivar usage: tail latency in ms of a serving task, else thousandths of
+        a core in use.
+    """
+
+    task: str
+    run: int
+    saved: str
+    percent: int
+    usage: int
+
+
+class EndedTask(NamedTuple):
+    """An end that a worker lists.
+
+    :ivar number: counts the ends of this worker's life.
+    :ivar outcome: ``done``, ``failed``, ``stopped``, ``lapsed``,
+        ``broken`` (another member ended) or ``alone`` (it waited in vain
+        for the others).
+    """
+
+    number: int
+    task: str
+    run: int
+    outcome: str
+    saved: str
+
+
+class RefusedTask(NamedTuple):
+    """A start that is surely not carried out, now or later."""
+
+    task: str
+    run: int
+    reason: str
+
+
+class Listing(NamedTuple):
+    """What a side reports about its worker.
+
+    :ivar worker: name of the worker, with its side's.
+    :ivar draining: it takes no new work and will leave.
+    :ivar remaining_ms: least time left before it leaves; 0 if not known.
+    :ivar gone: this life of the worker has ended.
+    """
+
+    worker: str
+    side: str
+    data_centre: str
+    pool: str
+    capacity: model.Need
+    labels: tuple[str, ...]
+    draining: bool
+    remaining_ms: int
+    gone: bool
+    running: tuple[RunningTask, ...]
+    ended: tuple[EndedTask, ...]
+    refused: tuple[RefusedTask, ...]
+
+
+def worker_name(life: str, side: str) -> str:
+    """Name a worker by its life and the side beside it."""
+    return f"{life}@{side}"
+
+
+def side_of(worker: str) -> str:
+    """Give the side's name out of a worker's."""
+    return worker.partition("@")[2]
+
+
+# Failures in a row, over two tasks at least, that set a worker aside.
+_QUARANTINE_FAILURES = 3
+# How long it is set aside before one task is tried on it again.
+QUARANTINE_S = 6.0
+
+
+class Worker:
+    """One worker.
+
+    :ivar held: room that each started task holds, until its end is heard.
+    :ivar starts: orders that the worker's side has not confirmed.
+    :ivar stops: runs that must end there.
+    :ivar acked: ends up to this number are kept on the log.
+    :ivar known: whether its capacity has been heard.
+    :ivar linked: whether its side is linked now.
+    :ivar heard_at: steady time of its last report.
+    """
+
+    def __init__(self, name: str, now: float) -> None:
+        """Know a worker by name only."""
+        self.name = name
+        self.side = side_of(name)
+        self.data_centre = ""
+        self.pool = ""
+        self.capacity = model.NOTHING
+        self.free = model.NOTHING
+        self.labels: tuple[str, ...] = ()
+        self.draining = False
+        self.leaves_at = float("inf")
+        self.known = False
+        self.linked = False
+        self.heard_at = now
+        self.held: dict[RunId, model.Need] = {}
+        self.starts: dict[RunId, StartOrder] = {}
+        self.stops: set[RunId] = set()
+        self.acked = 0
+        self.orders_changed = False
+        self.away_until = 0.0
+        self._failures = 0
+        self._failed_tasks: set[str] = set()
+
+    @property
+    def rack(self) -> str:
+        """The rack it stands in, or empty."""
+        return self.labels[1] if len(self.labels) > 1 else ""
+
+    def describe(self, listing: Listing, now: float) -> None:
+        """Take in what a report says about the worker itself."""
+        self.data_centre = listing.data_centre
+        self.pool = listing.pool
+        self.labels = listing.labels
+        self.draining = listing.draining
+        self.leaves_at = float("inf")
+        if listing.draining:
+            self.leaves_at = now + listing.remaining_ms / 1000
+        self.known = True
+        self.linked = True
+        self.heard_at = now
+        if self.capacity != listing.capacity:
+            self.capacity = listing.capacity
+            self._count_free()
+
+    def hold(self, run: RunId, need: model.Need) -> None:
+        """Keep room for a task that is about to start."""
+        self.held[run] = need
+        self.free = self.free.minus(need)
+
+    def release(self, run: RunId) -> None:
+        """Give room back: the task surely does not run here any more."""
+        need = self.held.pop(run, None)
+        if need is not None:
+            self.free = self.free.plus(need)
+        if self.starts.pop(run, None) is not None or run in self.stops:
+            self.stops.discard(run)
+            self.orders_changed = True
+
+    def failed(self, task: str, now: float) -> bool:
+        """Note a failure; tell whether the worker is set aside for it."""
+        self._failures += 1
+        self._failed_tasks.add(task)
+        if (
+            self._failures < _QUARANTINE_FAILURES
+            or len(self._failed_tasks) < 2
+        ):
+            return False
+        return self.set_aside(now)
+
+    def set_aside(self, now: float) -> bool:
+        """Give it no work for a while; tell whether that is new."""
+        is_new = now >= self.away_until
+        self.away_until = now + QUARANTINE_S
+        return is_new
+
+    def succeeded(self) -> None:
+        """Note that a task was done."""
+        self._failures = 0
+        self._failed_tasks.clear()
+
+    def _count_free(self) -> None:
+        free = self.capacity
+        for need in self.held.values():
+            free = free.minus(need)
+        self.free = free
--- /dev/null
+++ b/kingcuplever/process/scheduling/placement.py
@@ -0,0 +1,128 @@
+"""Chooses workers for one group of tasks, or says that none will do.
+
+A plan never overfills a worker, keeps to labels, limits on one worker and
+racks, and prefers what leaves large accelerators whole.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import work
+
+Rooms = dict[str, model.Need]
+
+
+class Places(NamedTuple):
+    """Workers for the tasks of a group, in their order.
+
+    :ivar slow: some task is away from its data, or the gang spans racks.
+    """
+
+    workers: tuple[str, ...]
+    slow: bool
+
+
+def may_run(
+    worker: fleet.Worker, group: work.Group, pool: str, now: float
+) -> bool:
+    """Tell whether a worker may run a group's tasks, room aside."""
+    spec = group.spec
+    return (
+        worker.known
+        and worker.linked
+        and not worker.draining
+        and worker.pool == pool
+        and now >= worker.away_until
+        and (not spec.label or spec.label in worker.labels)
+    )
+
+
+def choose(
+    group: work.Group,
+    workers: list[fleet.Worker],
+    rooms: Rooms,
+    taken: Callable[[str], int],
+    allow_slow: bool,
+) -> Places | None:
+    """Choose places for all tasks of a group.
+
+    :param workers: those that may run it.
+    :param rooms: free room by worker's name.
+    :param taken: tasks of the same step that a worker has already.
+    :param allow_slow: also give places where the work is slow.
+    """
+    spec = group.spec
+    if spec.gang and spec.same_rack:
+        found = _choose_in_one_rack(group, workers, rooms, taken)
+        if found is not None and (allow_slow or not found.slow):
+            return found
+        if not allow_slow:
+            return None
+        return _choose_anywhere(group, workers, rooms, taken, True)
+    near = [w for w in workers if _is_near(spec, w)]
+    found = _choose_anywhere(group, near, rooms, taken, False)
+    if found is not None or not allow_slow:
+        return found
+    return _choose_anywhere(group, workers, rooms, taken, True)
+
+
+def _is_near(spec: model.StepSpec, worker: fleet.Worker) -> bool:
+    return not spec.data_rack or worker.rack == spec.data_rack
+
+
+def _choose_in_one_rack(
+    group: work.Group,
+    workers: list[fleet.Worker],
+    rooms: Rooms,
+    taken: Callable[[str], int],
+) -> Places | None:
+    best: Places | None = None
+    for rack in sorted({worker.rack for worker in workers}):
+        members = [worker for worker in workers if worker.rack == rack]
+        wanted = group.spec.data_rack
+        slow = bool(wanted) and rack != wanted
+        if best is not None and slow >= best.slow:
+            continue
+        found = _choose_anywhere(group, members, rooms, taken, slow)
+        if found is not None:
+            best = found
+    return best
+
+
+def _choose_anywhere(
+    group: work.Group,
+    workers: Iterable[fleet.Worker],
+    rooms: Rooms,
+    taken: Callable[[str], int],
+    slow: bool,
+) -> Places | None:
+    """Fill workers one after another, the tightest fit first."""
+    spec = group.spec
+    need = spec.need
+    left = {worker.name: rooms[worker.name] for worker in workers}
+    counts = {name: taken(name) for name in left} if spec.gang else {}
+    chosen: list[str] = []
+    order = sorted(
+        left,
+        key=lambda name: (
+            name in group.avoid,
+            left[name].gpus - need.gpus,
+            left[name].cpu_milli,
+            name,
+        ),
+    )
+    for name in order:
+        limit = spec.most_per_worker or len(group.tasks)
+        used = counts.get(name, 0) if spec.gang else taken(name)
+        while len(chosen) < len(group.tasks) and need.fits(left[name]):
+            if spec.most_per_worker and used >= limit:
+                break
+            left[name] = left[name].minus(need)
+            chosen.append(name)
+            used += 1
+        if len(chosen) == len(group.tasks):
+            return Places(tuple(chosen), slow)
+    return None
--- /dev/null
+++ b/kingcuplever/process/scheduling/work.py
@@ -0,0 +1,242 @@
+"""Jobs as the owner holds them: occurrences, and groups that start together.
+
+A group is what is placed as one: a whole gang, or a single task of any other
+step.  Its run counts its starts; all members of a run carry the same number.
+"""
+
+from kingcuplever.process.scheduling import model
+from kingcuplever.process.stored import job_records
+
+WAITING = "w"
+ASSIGNED = "a"
+DONE = "d"
+
+
+class Group:
+    """Tasks that are placed together.
+
+    :ivar tasks: names of the tasks, by their place in the group.
+    :ivar holders: worker that each task holds room on, or an empty text.
+    :ivar failed: whether a member of the present run has failed.
+    :ivar stopping: why the present run is being stopped, or empty.
+    :ivar percent: furthest progress of any member that was reported.
+    :ivar moved_at: steady time when that last grew.
+    :ivar not_before: steady time before which it is not placed again.
+    :ivar avoid: workers on which it failed.
+    """
+
+    __slots__ = (
+        "job",
+        "occurrence",
+        "step",
+        "first",
+        "spec",
+        "tasks",
+        "run",
+        "phase",
+        "failures",
+        "saved",
+        "holders",
+        "failed",
+        "stopping",
+        "percent",
+        "moved_at",
+        "begun_at",
+        "ready_at",
+        "not_before",
+        "avoid",
+    )
+
+    def __init__(
+        self, job: "Job", occurrence: int, step: int, first: int
+    ) -> None:
+        """Make a group that waits for its first run."""
+        self.job = job
+        self.occurrence = occurrence
+        self.step = step
+        self.first = first
+        self.spec = job.spec.steps[step]
+        count = self.spec.tasks if self.spec.gang else 1
+        self.tasks = tuple(
+            str(model.TaskId(job.name, occurrence, step, first + index))
+            for index in range(count)
+        )
+        self.run = 0
+        self.phase = WAITING
+        self.failures = 0
+        self.saved = ""
+        self.holders = [""] * count
+        self.failed = False
+        self.stopping = ""
+        self.percent = 0
+        self.moved_at = 0.0
+        self.begun_at = 0.0
+        self.ready_at = 0.0
+        self.not_before = 0.0
+        self.avoid: set[str] = set()
+
+    @property
+    def vacant(self) -> bool:
+        """Whether no task holds room anywhere."""
+        return not any(self.holders)
+
+    @property
+    def gpus(self) -> int:
+        """Accelerators of all its tasks."""
+        return self.spec.gpus * len(self.tasks)
+
+    def index_of(self, task: model.TaskId) -> int:
+        """Give the number of a task within the group."""
+        return task.place - self.first
+
+    def is_new(self) -> bool:
+        """Tell whether nothing has happened to it yet."""
+        return not (self.run or self.phase != WAITING)
+
+    def record(self) -> job_records.GroupProgress:
+        """Give what must last of it."""
+        return job_records.GroupProgress(
+            self.occurrence,
+            self.step,
+            self.first,
+            self.run,
+            self.phase,
+            self.failures,
+            self.saved,
+            tuple(self.holders) if any(self.holders) else (),
+        )
+
+    def restore(self, row: job_records.GroupProgress, now: float) -> None:
+        """Take over what a record says."""
+        self.run = row.run
+        self.phase = row.phase
+        self.failures = row.failures
+        self.saved = row.saved
+        if len(row.workers) == len(self.holders):
+            self.holders = list(row.workers)
+        self.moved_at = self.begun_at = self.ready_at = now
+
+
+class Occurrence:
+    """One run through all steps of a job.
+
+    :ivar steps: the groups of each step.
+    :ivar left: groups of each step that are not done.
+    """
+
+    __slots__ = ("steps", "left")
+
+    def __init__(self, job: "Job", number: int) -> None:
+        """Make all groups, waiting."""
+        self.steps: list[list[Group]] = []
+        for index, spec in enumerate(job.spec.steps):
+            stride = spec.tasks if spec.gang else 1
+            firsts = range(0, spec.tasks, max(1, stride))
+            groups = [Group(job, number, index, first) for first in firsts]
+            self.steps.append(groups)
+        self.left = [len(groups) for groups in self.steps]
+
+    @property
+    def done(self) -> bool:
+        """Whether every task of every step is done."""
+        return not any(self.left)
+
+    def group_of(self, task: model.TaskId) -> Group | None:
+        """Find the group of a task; none if there is no such task."""
+        if not 0 <= task.step < len(self.steps):
+            return None
+        groups = self.steps[task.step]
+        if not groups:
+            return None
+        if groups[0].spec.gang:
+            whole = groups[0]
+            return whole if 0 <= task.place < len(whole.tasks) else None
+        return groups[task.place] if 0 <= task.place < len(groups) else None
+
+
+class Job:
+    """One accepted job.
+
+    :ivar order: grows with the time of acceptance.
+    :ivar accepted_at: steady time when the owner first saw it.
+    :ivar state: one of the states of :mod:`model`.
+    :ivar next_due: number of the first occurrence that was not opened yet.
+    """
+
+    __slots__ = (
+        "name",
+        "spec",
+        "order",
+        "accepted_at",
+        "state",
+        "open",
+        "finished",
+        "next_due",
+        "ended_ms",
+    )
+
+    def __init__(
+        self, name: str, spec: model.JobSpec, order: int, now: float
+    ) -> None:
+        """Take a job; no occurrence is due yet."""
+        self.name = name
+        self.spec = spec
+        self.order = order
+        self.accepted_at = now
+        self.state = model.PENDING
+        self.open: dict[int, Occurrence] = {}
+        self.finished: set[int] = set()
+        self.next_due = 0
+        self.ended_ms = 0
+
+    @property
+    def ended(self) -> bool:
+        """Whether its state is final; tasks may still be stopping."""
+        return self.state in model.ENDED_STATES
+
+    @property
+    def vacant(self) -> bool:
+        """Whether no task holds room anywhere."""
+        return all(group.vacant for group in self.groups())
+
+    def groups(self) -> list[Group]:
+        """Give the groups of all open occurrences."""
+        return [
+            group
+            for occurrence in self.open.values()
+            for step in occurrence.steps
+            for group in step
+        ]
+
+    def find(self, task: model.TaskId) -> Group | None:
+        """Find the group of a task that is open."""
+        occurrence = self.open.get(task.occurrence)
+        return None if occurrence is None else occurrence.group_of(task)
+
+    def record(self) -> job_records.Progress:
+        """Give what must last of it."""
+        rows = tuple(
+            group.record() for group in self.groups() if not group.is_new()
+        )
+        finished = tuple(sorted(self.finished))
+        return job_records.Progress(
+            self.name, self.state, finished, rows, self.ended_ms
+        )
+
+    def restore(self, record: job_records.Progress, now: float) -> None:
+        """Take over what a record says."""
+        self.state = record.state
+        self.finished = set(record.finished)
+        self.ended_ms = record.ended_ms
+        for row in record.groups:
+            if row.occurrence not in self.open:
+                self.open[row.occurrence] = Occurrence(self, row.occurrence)
+            occurrence = self.open[row.occurrence]
+            task = model.TaskId(self.name, row.occurrence, row.step, row.first)
+            group = occurrence.group_of(task)
+            if group is not None:
+                group.restore(row, now)
+                if group.phase == DONE:
+                    occurrence.left[row.step] -= 1
+        opened = [*self.open, *self.finished]
+        self.next_due = max(opened, default=-1) + 1
--- /dev/null
+++ b/kingcuplever/process/stored/job_board.py
@@ -0,0 +1,120 @@
+"""All jobs, as the log has them: what an entry answers callers from."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from kingcuplever.connection import keyed_log
+from kingcuplever import logs
+from kingcuplever import plain
+from kingcuplever.process.scheduling import model
+from kingcuplever.process.stored import job_records
+
+
+class StoredJob:
+    """One job as the log has it.
+
+    :ivar spec: absent while only other records of the job were seen.
+    :ivar order: offset at which it was first seen to be handed in.
+    """
+
+    def __init__(self) -> None:
+        """Know nothing yet."""
+        self.spec: model.JobSpec | None = None
+        self.order = -1
+        self.cancelled = False
+        self.progress: job_records.Progress | None = None
+
+    @property
+    def state(self) -> str:
+        """The state to show to callers."""
+        shown = model.PENDING
+        if self.progress is not None:
+            shown = self.progress.state
+        if self.cancelled and shown not in model.ENDED_STATES:
+            return model.CANCELLED
+        return shown
+
+
+class Listener(Protocol):
+    """Hears of what callers did, as the log has it."""
+
+    def job_changed(self, name: str, job: StoredJob) -> None:
+        """A job was handed in or cancelled."""
+
+
+class JobBoard:
+    """Applies the records of the topic, the newest of each key.
+
+    :ivar jobs: by name.
+    :ivar owner: who schedules, as far as the log says.
+    :ivar owner_heard: counts the records of owners, renewals included.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.jobs: dict[str, StoredJob] = {}
+        self.owner: job_records.Owner | None = None
+        self.owner_heard = 0
+        self.listener: Listener | None = None
+        self._offsets: dict[str, int] = {}
+
+    def take(self, records: Sequence[keyed_log.StoredRecord]) -> None:
+        """Apply records; an older offset of a key changes nothing."""
+        for stored in records:
+            if stored.offset <= self._offsets.get(stored.key, -1):
+                continue
+            self._offsets[stored.key] = stored.offset
+            try:
+                record = job_records.read(stored)
+            except plain.FaultyValue as error:
+                text = f"Record {stored.offset} is left out: {error}"
+                logs.warn(logs.Part.LOG, text)
+                continue
+            self._apply(record, stored.offset)
+
+    def start_over(self) -> None:
+        """Expect the newest record of each key again.
+
+        What is known stays: a key that was dropped meanwhile is forgotten
+        late, which harms nobody, while a caller's job must not vanish.
+        """
+
+    def waiting(self, queue: str) -> int:
+        """Count the accepted jobs of a queue that have not begun."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if job.spec is not None
+            and job.spec.queue == queue
+            and job.state == model.PENDING
+        )
+
+    def _apply(self, record: job_records.Record, offset: int) -> None:
+        if isinstance(record, job_records.Owner):
+            self.owner_heard += 1
+            if self.owner is None or record.epoch >= self.owner.epoch:
+                self.owner = record
+            return
+        if isinstance(record, job_records.Dropped):
+            self._forget(record.key)
+            return
+        job = self.jobs.setdefault(record.job, StoredJob())
+        if isinstance(record, job_records.Submitted):
+            if job.spec is None:
+                job.spec = record.spec
+                job.order = offset
+                self._tell(record.job, job)
+        elif isinstance(record, job_records.Cancelled):
+            job.cancelled = True
+            self._tell(record.job, job)
+        else:
+            job.progress = record
+
+    def _tell(self, name: str, job: StoredJob) -> None:
+        if self.listener is not None:
+            self.listener.job_changed(name, job)
+
+    def _forget(self, key: str) -> None:
+        self._offsets.pop(key, None)
+        name = job_records.job_of(key)
+        self.jobs.pop(name, None)
--- /dev/null
+++ b/kingcuplever/process/stored/job_records.py
@@ -0,0 +1,187 @@
+"""The records that keep jobs: what was handed in, cancelled and done.
+
+One topic holds them all, by key: ``s:JOB`` is the job as it was handed in,
+``c:JOB`` its cancelling, ``j:JOB`` how far it is, ``owner`` who schedules.
+A submission and a progress have keys of their own, so that handing a job in
+again can't overwrite what has been done.  Values are compact JSON.
+"""
+
+import json
+from typing import Any
+from typing import Final
+from typing import NamedTuple
+
+from kingcuplever.connection import keyed_log
+from kingcuplever import plain
+from kingcuplever.process.scheduling import model
+
+TOPIC: Final = "jobs"
+OWNER_KEY: Final = "owner"
+
+_SUBMITTED: Final = "s:"
+_CANCELLED: Final = "c:"
+_PROGRESS: Final = "j:"
+
+
+class Submitted(NamedTuple):
+    """A job was handed in."""
+
+    job: str
+    spec: model.JobSpec
+
+
+class Cancelled(NamedTuple):
+    """A job was cancelled."""
+
+    job: str
+
+
+class GroupProgress(NamedTuple):
+    """How far the tasks are that start together.
+
+    :ivar first: index of the group's first task.
+    :ivar run: number of its last start.
+    :ivar phase: ``w`` waiting, ``a`` assigned, ``d`` done.
+    :ivar workers: worker of each task of an assignment, empty where that
+        task no longer holds anything.
+    """
+
+    occurrence: int
+    step: int
+    first: int
+    run: int
+    phase: str
+    failures: int
+    saved: str
+    workers: tuple[str, ...]
+
+
+class Progress(NamedTuple):
+    """How far a job is.
+
+    :ivar finished: occurrences that are wholly done.
+    :ivar ended_ms: time of day of the end, or 0.
+    """
+
+    job: str
+    state: str
+    finished: tuple[int, ...]
+    groups: tuple[GroupProgress, ...]
+    ended_ms: int = 0
+
+
+class Owner(NamedTuple):
+    """Who schedules.
+
+    :ivar address: where sides reach it, ``host:port``.
+    :ivar renewal: counts the renewals within the epoch.
+    """
+
+    epoch: int
+    entry: str
+    address: str
+    renewal: int
+
+
+class Dropped(NamedTuple):
+    """A key was dropped."""
+
+    key: str
+
+
+Record = Submitted | Cancelled | Progress | Owner | Dropped
+
+
+def submitted(job: str, spec: model.JobSpec) -> keyed_log.KeyedRecord:
+    """Make the record of a job that was handed in."""
+    return _record(_SUBMITTED + job, _brief(spec))
+
+
+def cancelled(job: str) -> keyed_log.KeyedRecord:
+    """Make the record of a cancelling."""
+    return _record(_CANCELLED + job, {})
+
+
+def progress(record: Progress) -> keyed_log.KeyedRecord:
+    """Make the record of how far a job is."""
+    value = [
+        record.state,
+        list(record.finished),
+        [list(group) for group in record.groups],
+        record.ended_ms,
+    ]
+    return _record(_PROGRESS + record.job, value)
+
+
+def owner(record: Owner) -> keyed_log.KeyedRecord:
+    """Make the record of who schedules."""
+    return _record(OWNER_KEY, list(record))
+
+
+def forgotten(job: str) -> tuple[keyed_log.KeyedRecord, ...]:
+    """Make the records that drop all keys of a job."""
+    return tuple(
+        keyed_log.KeyedRecord(prefix + job, None)
+        for prefix in (_SUBMITTED, _CANCELLED, _PROGRESS)
+    )
+
+
+def read(stored: keyed_log.StoredRecord) -> Record:
+    """Read a record of the topic.
+
+    :raises plain.FaultyValue: if it is none of ours.
+    """
+    key, value = stored.key, stored.value
+    if value is None:
+        return Dropped(key)
+    try:
+        document = json.loads(value)
+        return _read(key, document)
+    except plain.FaultyValue:
+        raise
+    except (ValueError, TypeError, RecursionError) as error:
+        fault = plain.Fault(key, repr(value[:60]), "a record of the product")
+        raise plain.FaultyValue([fault]) from error
+
+
+def job_of(key: str) -> str:
+    """Give the job that a dropped key belongs to, or an empty text."""
+    return key[2:] if key[:2] in (_SUBMITTED, _CANCELLED, _PROGRESS) else ""
+
+
+def _read(key: str, document: Any) -> Record:
+    if key.startswith(_SUBMITTED):
+        spec = plain.from_plain(model.JobSpec, document, key)
+        return Submitted(key[2:], spec)
+    if key.startswith(_CANCELLED):
+        return Cancelled(key[2:])
+    if key.startswith(_PROGRESS):
+        state, finished, groups, ended_ms = document
+        rows = tuple(
+            GroupProgress(*row[:7], tuple(row[7]))  # type: ignore[call-arg]
+            for row in groups
+        )
+        return Progress(key[2:], state, tuple(finished), rows, ended_ms)
+    if key == OWNER_KEY:
+        return Owner(*document)
+    fault = plain.Fault("key", repr(key), "a key of the product")
+    raise plain.FaultyValue([fault])
+
+
+def _record(key: str, value: Any) -> keyed_log.KeyedRecord:
+    data = json.dumps(value, separators=(",", ":")).encode()
+    return keyed_log.KeyedRecord(key, data)
+
+
+def _brief(value: Any) -> Any:
+    """Turn a NamedTuple into plain values, defaults left out."""
+    if hasattr(value, "_fields"):
+        defaults = value._field_defaults
+        return {
+            name: _brief(item)
+            for name, item in zip(value._fields, value, strict=True)
+            if name not in defaults or defaults[name] != item
+        }
+    if isinstance(value, tuple):
+        return [_brief(item) for item in value]
+    return value
--- /dev/null
+++ b/kingcuplever/process/stored/producing.py
@@ -0,0 +1,150 @@
+"""Appends to one keyed topic under one producer, one append in flight.
+
+The append that is in doubt is repeated under its own number until the log
+says what became of it; what gathers meanwhile goes with the next one.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Final
+
+import trio
+
+from kingcuplever.connection import keyed_log
+from kingcuplever import errors
+from kingcuplever import logs
+
+# Pause between two tries of an append whose fate is open.
+_RETRY_S: Final = 0.1
+
+
+class Producer:
+    """Numbers the appends of one producer in one epoch."""
+
+    def __init__(
+        self, log: keyed_log.KeyedLog, topic: str, name: str, epoch: int
+    ) -> None:
+        """Begin a row of appends.
+
+        :param name: of the producer; nobody else uses it in this epoch.
+        """
+        self.epoch = epoch
+        self._log = log
+        self._topic = topic
+        self._name = name
+        self._sequence = 0
+
+    async def try_append(
+        self,
+        records: Sequence[keyed_log.KeyedRecord],
+        at: int | None = None,
+    ) -> int:
+        """Try once; the number moves on only when the append is known done.
+
+        :return: the offset after the last record.
+        :raises errors.LogUnavailable: see :class:`keyed_log.KeyedLog`.
+        """
+        stamp = keyed_log.Stamp(self._name, self.epoch, self._sequence)
+        end = await self._log.append(self._topic, records, stamp, at)
+        self._sequence += 1
+        return end
+
+    def found_done(self) -> None:
+        """The append that was tried last has been read back."""
+        self._sequence += 1
+
+    async def append(self, records: Sequence[keyed_log.KeyedRecord]) -> int:
+        """Append, repeating while the fate is open.
+
+        :return: the offset after the last record.
+        :raises errors.LogRefused: surely nothing was done.
+        :raises errors.LogFenced: a newer epoch has written.
+        """
+        in_doubt = False
+        while True:
+            try:
+                return await self.try_append(records)
+            except errors.LogRefused:
+                if not in_doubt:
+                    raise
+            except errors.LogUnavailable:
+                in_doubt = True
+            await trio.sleep(_RETRY_S)
+
+
+class _Entrusted:
+    """Records of one caller that wait for their append."""
+
+    def __init__(self, records: tuple[keyed_log.KeyedRecord, ...]) -> None:
+        self.records = records
+        self.done = trio.Event()
+        self.error: errors.KingcupleverError | None = None
+
+
+# Records that one append may carry; bounds what one lost answer holds up.
+_BATCH_RECORDS: Final = 200
+
+
+class GroupAppender:
+    """Gathers the records of many callers into few appends."""
+
+    def __init__(self, make_producer: Callable[[], Producer]) -> None:
+        """Append through producers that nobody else uses.
+
+        :param make_producer: gives a fresh one whenever the log no longer
+            takes the present one's numbers.
+        """
+        self._make_producer = make_producer
+        self._producer = make_producer()
+        self._waiting: list[_Entrusted] = []
+        self._woken = trio.Event()
+
+    async def append(
+        self, records: Sequence[keyed_log.KeyedRecord], timeout_s: float
+    ) -> None:
+        """Append and wait until the log has acknowledged.
+
+        :raises errors.LogRefused: surely nothing was done, nor will be.
+        :raises errors.LogUnavailable: no word in time; it may be done later.
+        """
+        entrusted = _Entrusted(tuple(records))
+        self._waiting.append(entrusted)
+        self._woken.set()
+        with trio.move_on_after(timeout_s):
+            await entrusted.done.wait()
+        if entrusted.done.is_set():
+            if entrusted.error is not None:
+                raise entrusted.error
+            return
+        if entrusted in self._waiting:
+            self._waiting.remove(entrusted)
+            raise errors.LogRefused("The log is behind; nothing was sent.")
+        raise errors.LogUnavailable(
+            "The log has not said whether it took the record; send the same"
+            " again."
+        )
+
+    async def run(self) -> None:
+        """Append until cancelled."""
+        while True:
+            await self._woken.wait()
+            self._woken = trio.Event()
+            while self._waiting:
+                batch = self._waiting[:_BATCH_RECORDS]
+                del self._waiting[:_BATCH_RECORDS]
+                await self._append_batch(batch)
+
+    async def _append_batch(self, batch: list[_Entrusted]) -> None:
+        records = [item for one in batch for item in one.records]
+        error: errors.KingcupleverError | None = None
+        try:
+            await self._producer.append(records)
+        except errors.LogRefused as refusal:
+            error = refusal
+        except (errors.LogFenced, errors.LogConflict) as surprise:
+            logs.warn(logs.Part.LOG, f"An append failed: {surprise.detail}")
+            error = errors.LogUnavailable(surprise.detail)
+            self._producer = self._make_producer()
+        for one in batch:
+            one.error = error
+            one.done.set()
