Number a producer's appends from a random start; pause while ends are open

Cause: four entries claimed epoch 1 with the same producer, epoch and number, and the store gave all of them the first one's answer, as it does for a repetition; so all four decided.

--- a/kingcuplever/connection/keyed_log.py
+++ b/kingcuplever/connection/keyed_log.py
@@ -32,7 +32,8 @@
 class Stamp(NamedTuple):
     """Who appends, in which epoch, and which of its appends this is.
 
-    :ivar sequence: counts the producer's appends within the epoch, from 0.
+    :ivar sequence: counts the producer's appends within the epoch; a
+        producer may begin at any number.
     """
 
     producer: str
--- a/kingcuplever/process/stored/producing.py
+++ b/kingcuplever/process/stored/producing.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
+import secrets
 from typing import Final
 
 import trio
@@ -14,6 +15,7 @@
 from kingcuplever import errors
 from kingcuplever import logs
 
+_FIRST_SEQUENCES: Final = 1 << 30
 # Pause between two tries of an append whose fate is open.
 _RETRY_S: Final = 0.1
 
@@ -32,7 +34,9 @@
         self._log = log
         self._topic = topic
         self._name = name
-        self._sequence = 0
+        # The log takes an append under a known number for a repetition, so
+        # two processes that claim one epoch must not begin alike.
+        self._sequence = secrets.randbelow(_FIRST_SEQUENCES)
 
     async def try_append(
         self,
--- a/kingcuplever/process/worker_agent.py
+++ b/kingcuplever/process/worker_agent.py
@@ -19,6 +19,9 @@
 # How long one call to the worker may wait for an end; with it the period
 # of the lists, and of the leases' prolongation.
 _HOLD_WAIT_MS: Final = 1000
+# Ends that the owner has not acknowledged are listed without any wait; the
+# next list would show nothing new before the owner could have acted.
+_UNACKED_PAUSE_S: Final = 0.05
 # Pause after a call that got no answer.
 _RETRY_S: Final = 0.15
 # Starts and stops that are under way at one worker at the same time.
@@ -295,7 +298,9 @@
             await trio.sleep(_RETRY_S)
             return
         self._take_view(registration, view, now)
-        if until_ms is None and self._clock.known:
+        if view.ended:
+            await trio.sleep(_UNACKED_PAUSE_S)
+        elif until_ms is None and self._clock.known:
             await trio.sleep(_RETRY_S)
 
     def _take_view(
