--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -341,7 +341,8 @@
                 await reign.producer.append(records)
                 reign.appended_at = trio.current_time()
                 return
-            except errors.LogRefused:
+            except errors.LogRefused as error:
+                logs.warn(logs.Part.OWNER, f"Not appended: {error.detail}")
                 await trio.sleep(_RETRY_S)
             except errors.LogFenced as error:
                 logs.warn(logs.Part.OWNER, f"Fenced: {error.detail}")
--- a/kingcuplever/process/stored/job_board.py
+++ b/kingcuplever/process/stored/job_board.py
@@ -47,7 +47,7 @@
 
     :ivar jobs: by name.
     :ivar owner: who schedules, as far as the log says.
-    :ivar owner_heard: counts the records of owners, renewals included.
+    :ivar owner_heard: counts the records that only an owner writes.
     """
 
     def __init__(self) -> None:
@@ -108,6 +108,7 @@
             job.cancelled = True
             self._tell(record.job, job)
         else:
+            self.owner_heard += 1
             job.progress = record
 
     def _tell(self, name: str, job: StoredJob) -> None:
--- a/kingcuplever/process/stored/producing.py
+++ b/kingcuplever/process/stored/producing.py
@@ -71,7 +71,10 @@
             except errors.LogRefused:
                 if not in_doubt:
                     raise
-            except errors.LogUnavailable:
+            except errors.LogUnavailable as error:
+                if not in_doubt:
+                    text = f"Append to {self._topic} in doubt: {error.detail}"
+                    logs.warn(logs.Part.LOG, text)
                 in_doubt = True
             await trio.sleep(_RETRY_S)
 
