--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -15,6 +15,7 @@
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import placement
+from kingcuplever.process.scheduling import reclaim
 from kingcuplever.process.scheduling import work
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
@@ -26,6 +27,8 @@
 _STALL_S: Final = 3.0
 # A task is not placed again at once after a run that came to nothing.
 _BACKOFF_S: Final = 0.2
+# A plan to reclaim room is given up when its victims are not gone by then.
+_CLAIM_S: Final = 3.0
 # Timeouts are looked for so often.
 _SCAN_S: Final = 0.25
 # Ended jobs are kept for callers' questions beyond what is promised, since
@@ -63,6 +66,13 @@
         self.acks: dict[str, int] = {}
 
 
+class _Claim(NamedTuple):
+    """Room that is being cleared for a guaranteed group."""
+
+    workers: tuple[str, ...]
+    made_at: float
+
+
 class Scheduler:
     """Decisions over one pool of jobs and workers.
 
@@ -83,6 +93,7 @@
         self._batches: dict[int, _AfterCommit] = {}
         self._batch_number = 0
         self._ready: dict[work.Group, None] = {}
+        self._claims: dict[work.Group, _Claim] = {}
         self._place_wanted = True
         self._scan_at = 0.0
         self._over: dict[str, int] = {}
@@ -126,6 +137,8 @@
         if not worker.linked or listing.draining != worker.draining:
             worker.orders_changed = True
             self._place_wanted = True
+        if now - worker.heard_at > _FRESH_S:
+            self._excuse_silence(worker, now)
         worker.describe(listing, now)
         self._take_running(worker, listing.running, now)
         for refused in listing.refused:
@@ -297,15 +310,24 @@
                 continue
             self._note_running(group, row, now)
 
+    def _excuse_silence(self, worker: fleet.Worker, now: float) -> None:
+        """Count no time as a standstill in which nothing was heard."""
+        for run in worker.held:
+            group = self._group_of(run)
+            if group is not None:
+                group.moved_at = [now] * len(group.tasks)
+
     def _note_running(
         self, group: work.Group, row: fleet.RunningTask, now: float
     ) -> None:
         job = group.job
         if not group.begun_at:
-            group.begun_at = group.moved_at = now
-        if row.percent > group.percent or group.spec.long_running:
-            group.percent = row.percent
-            group.moved_at = now
+            group.begun_at = now
+            group.moved_at = [now] * len(group.tasks)
+        index = group.tasks.index(row.task)
+        if row.percent > group.percents[index]:
+            group.percents[index] = row.percent
+            group.moved_at[index] = now
         if row.saved:
             group.saved = row.saved
         if job.state == model.PENDING:
@@ -418,18 +440,10 @@
                 group.stopping = f"a member was {reason}"
                 self._stop_group(group)
             return
-        if group.failed and not group.spec.long_running:
-            group.failures += 1
-        group.failed = False
-        group.stopping = ""
-        group.phase = work.WAITING
-        group.percent = 0
-        group.begun_at = 0.0
-        group.not_before = now + _BACKOFF_S
+        group.end_run(now + _BACKOFF_S, now)
         if job.ended:
             self._close_if_over(job)
         else:
-            group.ready_at = now
             self._ready[group] = None
 
     def _check_attempts(self, group: work.Group, wall_ms: int) -> None:
@@ -509,9 +523,17 @@
             return
         text = f"Worker {name} is gone with {len(worker.held)}: {reason}."
         self._say(logs.Part.MEMBER, text)
-        for run in [*worker.held]:
-            group = self._group_of(run)
+        lost = [(run, self._group_of(run)) for run in worker.held]
+        for run, _ in lost:
             worker.release(run)
+        # First no member holds room there, then each group goes on.
+        for _, group in lost:
+            if group is not None:
+                group.holders = [
+                    "" if holder == name else holder
+                    for holder in group.holders
+                ]
+        for run, group in lost:
             if group is not None:
                 self._vacate(group, run, worker, "lost", now)
         self._place_wanted = True
@@ -543,7 +565,8 @@
             # One step of the reported progress may take as long as a
             # hundredth of the work.
             patience_s = _STALL_S + group.spec.estimate_ms / 10_000
-            if now - group.moved_at > patience_s:
+            index = group.tasks.index(run.task)
+            if group.is_stuck(index, now, patience_s):
                 group.stopping = "no progress"
                 group.avoid.add(worker.name)
                 text = f"{run.task} stands still on {worker.name}; it moves."
@@ -580,13 +603,122 @@
             if worker.known and now - worker.heard_at <= _FRESH_S
         ]
         rooms = {worker.name: worker.free for worker in usable}
+        self._check_claims(rooms, now)
+        urgent_gpus = self._count_urgent()
         failed: set[tuple[str, int, int]] = set()
         for group in sorted(self._ready, key=lambda g: self._rank(g, now)):
             shape = (group.job.name, group.occurrence, group.step)
             if shape in failed or now < group.not_before:
                 continue
-            if not self._place(group, usable, rooms, now):
+            account = group.job.spec.account
+            promised = self._policy.guaranteed_gpus.get(account, 0)
+            entitled = (
+                self._queue_of(group.job).priority == 0
+                and urgent_gpus.get(account, 0) + group.gpus <= promised
+            )
+            placed = self._place(group, usable, rooms, now)
+            if not placed and entitled:
+                self._reclaim(group, usable, rooms, now)
+            elif not placed:
                 failed.add(shape)
+            if self._queue_of(group.job).priority == 0:
+                if placed or group in self._claims:
+                    before = urgent_gpus.get(account, 0)
+                    urgent_gpus[account] = before + group.gpus
+
+    def _count_urgent(self) -> dict[str, int]:
+        """Count the accelerators that each account's urgent work has."""
+        counts: dict[str, int] = {}
+        for job in self.jobs.values():
+            if self._queue_of(job).priority != 0:
+                continue
+            used = sum(
+                group.gpus
+                for group in job.groups()
+                if group.phase == work.ASSIGNED
+            )
+            account = job.spec.account
+            counts[account] = counts.get(account, 0) + used
+        return counts
+
+    def _check_claims(self, rooms: placement.Rooms, now: float) -> None:
+        """Set room aside for what is being cleared; drop failed claims."""
+        for group, claim in [*self._claims.items()]:
+            overdue = now - claim.made_at > _CLAIM_S
+            missing = any(name not in rooms for name in claim.workers)
+            if group not in self._ready or overdue or missing:
+                del self._claims[group]
+                continue
+            for name in claim.workers:
+                rooms[name] = rooms[name].minus(group.spec.need)
+
+    def _reclaim(
+        self,
+        group: work.Group,
+        usable: list[fleet.Worker],
+        rooms: placement.Rooms,
+        now: float,
+    ) -> None:
+        """Clear room for a group that its account's guarantee covers."""
+        if group in self._claims:
+            return
+        pool = self._queue_of(group.job).pool
+        able = [w for w in usable if placement.may_run(w, group, pool, now)]
+        search = reclaim.Search(rooms, self._find_victims(able), now)
+        plan = search.find(group, able)
+        if plan is None:
+            return
+        self._claims[group] = _Claim(plan.workers, now)
+        for name in plan.workers:
+            rooms[name] = rooms[name].minus(group.spec.need)
+        names = ", ".join(victim.tasks[0] for victim in plan.victims)
+        text = (
+            f"{group.tasks[0]} reclaims {', '.join(sorted(set(plan.workers)))}"
+            f" for {group.job.spec.account}; stopped: {names or 'none'};"
+            f" {plan.cost:.0f} core-seconds lost."
+        )
+        self._say(logs.Part.PLACE, text)
+        for victim in plan.victims:
+            if not victim.stopping:
+                victim.stopping = f"reclaimed for {group.tasks[0]}"
+                self._stop_group(victim)
+
+    def _find_victims(
+        self, workers: list[fleet.Worker]
+    ) -> dict[str, list[work.Group]]:
+        """Give the groups on each worker that may be stopped.
+
+        Urgent work within its account's guarantee is spared, and so is
+        work whose tasks may not be away.
+        """
+        spared = self._find_guaranteed()
+        victims: dict[str, list[work.Group]] = {}
+        for worker in workers:
+            groups: dict[work.Group, None] = {}
+            for run in worker.held:
+                group = self._group_of(run)
+                if group is None or group.phase != work.ASSIGNED:
+                    continue
+                if group not in spared and not group.spec.may_miss:
+                    groups[group] = None
+            victims[worker.name] = list(groups)
+        return victims
+
+    def _find_guaranteed(self) -> set[work.Group]:
+        """Give the urgent groups that guarantees cover, oldest first."""
+        left = dict(self._policy.guaranteed_gpus)
+        spared = set()
+        for job in self.jobs.values():
+            if self._queue_of(job).priority != 0:
+                continue
+            for group in job.groups():
+                account = job.spec.account
+                if group.phase != work.ASSIGNED or group.stopping:
+                    continue
+                if group.gpus <= left.get(account, 0):
+                    left[account] -= group.gpus
+                    spared.add(group)
+        return spared
 
     def _rank(self, group: work.Group, now: float) -> tuple[float, ...]:
         job = group.job
@@ -606,6 +738,10 @@
         # long as one run takes there.
         patience_s = group.spec.estimate_ms / 1000
         allow_slow = now - group.ready_at > patience_s
+        claim = self._claims.get(group)
+        if claim is not None:
+            for name in claim.workers:
+                rooms[name] = rooms[name].plus(group.spec.need)
         places = placement.choose(
             group,
             able,
@@ -614,10 +750,14 @@
             allow_slow,
         )
         if places is None:
+            if claim is not None:
+                for name in claim.workers:
+                    rooms[name] = rooms[name].minus(group.spec.need)
             return False
+        self._claims.pop(group, None)
         self._assign(group, places, now)
-        for name in set(places.workers):
-            rooms[name] = self.workers[name].free
+        for name in places.workers:
+            rooms[name] = rooms[name].minus(group.spec.need)
         return True
 
     def _count_on(self, group: work.Group, name: str) -> int:
@@ -635,14 +775,7 @@
         self, group: work.Group, places: placement.Places, now: float
     ) -> None:
         del self._ready[group]
-        group.run += 1
-        group.phase = work.ASSIGNED
-        group.holders = list(places.workers)
-        group.stopping = ""
-        group.failed = False
-        group.percent = 0
-        group.begun_at = 0.0
-        group.moved_at = now
+        group.begin_run(places.workers, now)
         for index, name in enumerate(places.workers):
             run = fleet.RunId(group.tasks[index], group.run)
             self.workers[name].hold(run, group.spec.need)
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -11,6 +11,8 @@
 ASSIGNED = "a"
 DONE = "d"
 
+_ALL_DONE = 100
+
 
 class Group:
     """Tasks that are placed together.
@@ -19,8 +21,10 @@
     :ivar holders: worker that each task holds room on, or an empty text.
     :ivar failed: whether a member of the present run has failed.
     :ivar stopping: why the present run is being stopped, or empty.
-    :ivar percent: furthest progress of any member that was reported.
-    :ivar moved_at: steady time when that last grew.
+    :ivar percents: reported progress of each member.
+    :ivar moved_at: steady time when each member's progress last grew.
+    :ivar begun_at: steady time when the run was first seen running, or 0.
+    :ivar ready_at: steady time since when it waits for a place.
     :ivar not_before: steady time before which it is not placed again.
     :ivar avoid: workers on which it failed.
     """
@@ -39,7 +43,7 @@
         "holders",
         "failed",
         "stopping",
-        "percent",
+        "percents",
         "moved_at",
         "begun_at",
         "ready_at",
@@ -68,8 +72,8 @@
         self.holders = [""] * count
         self.failed = False
         self.stopping = ""
-        self.percent = 0
-        self.moved_at = 0.0
+        self.percents = [0] * count
+        self.moved_at = [0.0] * count
         self.begun_at = 0.0
         self.ready_at = 0.0
         self.not_before = 0.0
@@ -80,6 +84,11 @@
         """Whether no task holds room anywhere."""
         return not any(self.holders)
 
+    @property
+    def percent(self) -> int:
+        """Progress of the member that is furthest behind."""
+        return min(self.percents)
+
     @property
     def gpus(self) -> int:
         """Accelerators of all its tasks."""
@@ -114,7 +123,44 @@
         self.saved = row.saved
         if len(row.workers) == len(self.holders):
             self.holders = list(row.workers)
-        self.moved_at = self.begun_at = self.ready_at = now
+        self.moved_at = [now] * len(self.holders)
+        self.begun_at = self.ready_at = now
+
+    def is_stuck(self, index: int, now: float, patience_s: float) -> bool:
+        """Tell whether a member should have made progress and has not.
+
+        A member that is ready waits for the others, and all of a gang wait
+        until its last member is there.
+        """
+        if self.percents[index] >= _ALL_DONE:
+            return False
+        if not any(self.percents) and len(self.tasks) > 1:
+            patience_s *= 2
+        return now - self.moved_at[index] > patience_s
+
+    def begin_run(self, holders: tuple[str, ...], now: float) -> None:
+        """Begin another run on some workers."""
+        self.run += 1
+        self.phase = ASSIGNED
+        self.holders = list(holders)
+        self._clear(now)
+
+    def end_run(self, not_before: float, now: float) -> None:
+        """Wait for a place again."""
+        if self.failed and not self.spec.long_running:
+            self.failures += 1
+        self.phase = WAITING
+        self.not_before = not_before
+        self.ready_at = now
+        self._clear(now)
+
+    def _clear(self, now: float) -> None:
+        """Forget what was about one run."""
+        self.failed = False
+        self.stopping = ""
+        self.begun_at = 0.0
+        self.percents = [0] * len(self.tasks)
+        self.moved_at = [now] * len(self.tasks)
 
 
 class Occurrence:
--- /dev/null
+++ b/tests/pool.py
@@ -0,0 +1,208 @@
+"""A scheduler with made-up workers, a log in memory and a hand-set clock."""
+
+from kingcuplever.connection import keyed_log
+from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import scheduler as schedulers
+from kingcuplever.process.stored import job_board
+from kingcuplever.process.stored import job_records
+
+TIMING = schedulers.Timing(lost_after_s=20.0, status_s=120.0)
+FULL = model.Need(128_000, 262_144, 8)
+URGENT = model.QueuePolicy("urgent", "desk", 0, 2, 1.5, 250)
+NORMAL = model.QueuePolicy("normal", "desk", 1, 3, 3.0, 1000)
+BATCH = model.QueuePolicy("batch", "desk", 2, 3, 3.0, 3000)
+
+
+def step(
+    tasks: int = 1, gpus: int = 1, cpu_milli: int = 10_000, **more: object
+) -> model.StepSpec:
+    """Make a step; two seconds long unless said otherwise."""
+    facts: dict[str, object] = {"estimate_ms": 2000, "memory_mb": 1000}
+    facts |= more
+    return model.StepSpec(tasks, cpu_milli, gpus=gpus, **facts)  # type: ignore[arg-type]
+
+
+def spec(
+    *steps: model.StepSpec,
+    queue: str = "normal",
+    account: str = "stable",
+    **more: int,
+) -> model.JobSpec:
+    """Make a job."""
+    return model.JobSpec(queue, "desk", account, "payload", steps, 0, **more)
+
+
+class FakeWorker:
+    """Carries out orders at once and ends tasks when told to."""
+
+    def __init__(self, life: str, side: str, rack: str) -> None:
+        """Make a worker with nothing to do."""
+        self.name = fleet.worker_name(life, side)
+        self.side = side
+        self.rack = rack
+        self.draining = False
+        self.silent = False
+        self.running: dict[fleet.RunId, fleet.RunningTask] = {}
+        self.ended: list[fleet.EndedTask] = []
+        self.closed: dict[str, int] = {}
+        self.refused: dict[fleet.RunId, str] = {}
+        self.begun: list[fleet.StartOrder] = []
+        self._number = 0
+
+    def end(self, run: fleet.RunId, outcome: str, saved: str = "") -> None:
+        """End one of its tasks."""
+        del self.running[run]
+        self._number += 1
+        self.closed[run.task] = max(run.run, self.closed.get(run.task, 0))
+        row = fleet.EndedTask(self._number, run.task, run.run, outcome, saved)
+        self.ended.append(row)
+
+    def obey(self, worker: fleet.Worker) -> None:
+        """Carry out what the owner wants of it."""
+        self.ended = [row for row in self.ended if row.number > worker.acked]
+        wanted = {*worker.starts, *worker.stops}
+        for run in [*self.refused]:
+            if run not in wanted:
+                del self.refused[run]
+        for run, order in worker.starts.items():
+            if run.run <= self.closed.get(run.task, 0):
+                self.refused[run] = "old"
+            elif run not in self.running:
+                self.begun.append(order)
+                row = fleet.RunningTask(run.task, run.run, "", 0, 0)
+                self.running[run] = row
+        for run in worker.stops:
+            if run in self.running:
+                self.end(run, "stopped")
+            elif all((e.task, e.run) != run for e in self.ended):
+                self.refused[run] = "stopped"
+
+    def listing(self) -> fleet.Listing:
+        """Report what a side would report."""
+        return fleet.Listing(
+            self.name,
+            self.side,
+            "hall",
+            "desk",
+            FULL,
+            ("a", self.rack),
+            self.draining,
+            4000 if self.draining else 0,
+            False,
+            tuple(self.running.values()),
+            tuple(self.ended),
+            tuple(
+                fleet.RefusedTask(run.task, run.run, reason)
+                for run, reason in self.refused.items()
+            ),
+        )
+
+
+class Pool:
+    """A scheduler, its log and its workers, driven step by step."""
+
+    def __init__(
+        self, workers: int = 3, guaranteed: dict[str, int] | None = None
+    ) -> None:
+        """Start an owner over some workers, three to a rack."""
+        self.now = 100.0
+        self.board = job_board.JobBoard()
+        self.offset = 0
+        self.guaranteed = guaranteed or {}
+        self.workers = [
+            FakeWorker(f"i-{number}", f"side-{number}", f"r1-{number // 3}")
+            for number in range(workers)
+        ]
+        self.scheduler = self._new_owner()
+        self.settle()
+
+    @property
+    def wall_ms(self) -> int:
+        """The time of day."""
+        return int(self.now * 1000)
+
+    def take_over(self) -> None:
+        """Lose the owner; another one starts from the log."""
+        self.scheduler = self._new_owner()
+
+    def submit(self, name: str, job: model.JobSpec) -> None:
+        """Hand a job in."""
+        self.append([job_records.submitted(name, job)])
+        self._job_changed(name)
+
+    def cancel(self, name: str) -> None:
+        """Cancel a job."""
+        self.append([job_records.cancelled(name)])
+        self._job_changed(name)
+
+    def append(self, records: list[keyed_log.KeyedRecord]) -> None:
+        """Put records on the log."""
+        for record in records:
+            stored = keyed_log.StoredRecord(
+                self.offset, record.key, record.value
+            )
+            self.board.take([stored])
+            self.offset += 1
+
+    def commit(self) -> None:
+        """Append what the scheduler wants kept."""
+        while (changes := self.scheduler.take_changes()) is not None:
+            self.append([*changes.records])
+            self.scheduler.committed(changes.number)
+
+    def report(self) -> None:
+        """Have each worker obey and report."""
+        for fake in self.workers:
+            if fake.silent:
+                continue
+            known = self.scheduler.workers.get(fake.name)
+            if known is not None:
+                fake.obey(known)
+            self.scheduler.report(fake.listing(), self.now, self.wall_ms)
+
+    def settle(self, rounds: int = 4) -> None:
+        """Let decisions, records and orders go round, in little time."""
+        for _ in range(rounds):
+            self.scheduler.tick(self.now, self.wall_ms)
+            self.commit()
+            self.report()
+            self.now += 0.05
+        self.commit()
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time go by."""
+        until = self.now + seconds
+        while self.now < until:
+            self.settle(2)
+            self.now += 0.2
+
+    def state(self, name: str) -> str:
+        """Give a job's state as callers see it."""
+        return self.board.jobs[name].state
+
+    def running(self, name: str) -> dict[fleet.RunId, FakeWorker]:
+        """Give the running tasks of a job."""
+        return {
+            run: fake
+            for fake in self.workers
+            for run in fake.running
+            if run.task.startswith(f"{name}.")
+        }
+
+    def end(self, name: str, outcome: str, saved: str = "") -> None:
+        """End all running tasks of a job."""
+        for run, fake in self.running(name).items():
+            fake.end(run, outcome, saved)
+
+    def _job_changed(self, name: str) -> None:
+        self.scheduler.job_changed(
+            name, self.board.jobs[name], self.now, self.wall_ms
+        )
+
+    def _new_owner(self) -> schedulers.Scheduler:
+        scheduler = schedulers.Scheduler(TIMING)
+        queues = {q.name: q for q in (URGENT, NORMAL, BATCH)}
+        scheduler.set_policy(model.Policy(1, queues, self.guaranteed))
+        scheduler.load(self.board, self.now, self.wall_ms)
+        return scheduler
--- /dev/null
+++ b/tests/test_job_scheduling.py
@@ -0,0 +1,338 @@
+"""Jobs, steps and gangs from acceptance to the end, case by case."""
+
+import pytest
+
+from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import model
+from tests import pool as pools
+
+
+@pytest.fixture
+def pool() -> pools.Pool:
+    """Give three workers of one rack, with an owner."""
+    return pools.Pool()
+
+
+def test_job_of_one_task_runs_and_is_shown_completed(
+    pool: pools.Pool,
+) -> None:
+    pool.submit("j1", pools.spec(pools.step()))
+    pool.settle()
+    assert pool.state("j1") == model.RUNNING
+    pool.end("j1", "done")
+    pool.settle()
+    assert pool.state("j1") == model.COMPLETED
+
+
+def test_no_order_leaves_before_its_record(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step()))
+    pool.scheduler.tick(pool.now, pool.wall_ms)
+    changes = pool.scheduler.take_changes()
+    assert changes is not None
+    pool.report()
+    assert not pool.running("j1")
+    pool.append([*changes.records])
+    pool.scheduler.committed(changes.number)
+    pool.report()
+    assert pool.running("j1")
+
+
+def test_end_is_acknowledged_after_its_record(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step()))
+    pool.settle()
+    (worker,) = pool.running("j1").values()
+    pool.end("j1", "done")
+    pool.report()
+    known = pool.scheduler.workers[worker.name]
+    assert known.acked == 0
+    changes = pool.scheduler.take_changes()
+    assert changes is not None
+    assert known.acked == 0
+    pool.append([*changes.records])
+    pool.scheduler.committed(changes.number)
+    assert known.acked == 1
+
+
+def test_later_step_waits_for_all_of_the_earlier(pool: pools.Pool) -> None:
+    later = pools.step(after=(0,))
+    pool.submit("j1", pools.spec(pools.step(tasks=2), later))
+    pool.settle()
+    first, second = pool.running("j1").items()
+    first[1].end(first[0], "done")
+    pool.settle()
+    assert set(pool.running("j1")) == {second[0]}
+    second[1].end(second[0], "done")
+    pool.settle()
+    assert {run.task for run in pool.running("j1")} == {"j1.0.1.0"}
+
+
+def test_gang_is_placed_whole_or_not_at_all(pool: pools.Pool) -> None:
+    gang = pools.step(tasks=4, gpus=8, gang=True)
+    pool.submit("j1", pools.spec(gang))
+    pool.pass_time(3.0)
+    assert not pool.running("j1")
+    pool.workers.append(pools.FakeWorker("i-9", "side-9", "r1-1"))
+    pool.settle()
+    runs = pool.running("j1")
+    assert len(runs) == 4
+    assert {run.run for run in runs} == {1}
+
+
+def test_one_done_member_ends_the_gang(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step(tasks=2, gpus=8, gang=True)))
+    pool.settle()
+    run, worker = next(iter(pool.running("j1").items()))
+    worker.end(run, "done")
+    pool.settle()
+    assert pool.state("j1") == model.COMPLETED
+    held = [w.held for w in pool.scheduler.workers.values() if w.held]
+    assert len(held) == 1
+
+
+def test_lost_worker_with_two_members_of_a_gang_ends_their_run(
+    pool: pools.Pool,
+) -> None:
+    # The owner once ended itself here: it stopped the second member on a
+    # worker that it had just forgotten.
+    pool.submit("j1", pools.spec(pools.step(tasks=3, gpus=4, gang=True)))
+    pool.settle()
+    lost = max(pool.workers, key=lambda fake: len(fake.running))
+    assert len(lost.running) == 2
+    place = pool.workers.index(lost)
+    pool.workers[place] = pools.FakeWorker("i-new", lost.side, lost.rack)
+    pool.pass_time(1.0)
+    assert {run.run for run in pool.running("j1")} == {2}
+    assert len(pool.running("j1")) == 3
+
+
+def test_failed_gang_runs_again_as_a_whole(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step(tasks=2, gpus=8, gang=True)))
+    pool.settle()
+    (run, worker), (other, its_worker) = pool.running("j1").items()
+    worker.end(run, "failed")
+    its_worker.end(other, "broken")
+    pool.pass_time(1.0)
+    assert [r.run for r in pool.running("j1")] == [2, 2]
+
+
+def test_job_fails_after_its_attempts(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step()))
+    for _ in range(pools.NORMAL.most_attempts):
+        assert pool.state("j1") != model.FAILED
+        pool.pass_time(1.0)
+        pool.end("j1", "failed")
+        pool.settle()
+    assert pool.state("j1") == model.FAILED
+    pool.pass_time(1.0)
+    assert not pool.running("j1")
+
+
+def test_checkpoint_is_given_to_the_next_run(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step(checkpointing=True)))
+    pool.settle()
+    pool.end("j1", "stopped", "00000bb8")
+    pool.pass_time(1.0)
+    orders = [order for fake in pool.workers for order in fake.begun]
+    assert [order.saved for order in orders] == ["", "00000bb8"]
+
+
+def test_cancelled_job_is_stopped_and_shown(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step(tasks=5)))
+    pool.settle()
+    pool.cancel("j1")
+    assert pool.state("j1") == model.CANCELLED
+    pool.settle()
+    assert not pool.running("j1")
+    assert all(not w.held for w in pool.scheduler.workers.values())
+
+
+def test_successor_knows_what_may_run(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step(tasks=2)))
+    pool.settle()
+    before = set(pool.running("j1"))
+    for fake in pool.workers:
+        fake.silent = True
+    pool.take_over()
+    pool.pass_time(5.0)
+    for fake in pool.workers:
+        fake.silent = False
+    pool.pass_time(2.0)
+    assert set(pool.running("j1")) == before
+    pool.end("j1", "done")
+    pool.settle()
+    assert pool.state("j1") == model.COMPLETED
+
+
+def test_silent_worker_is_given_up_only_when_its_leases_are_over(
+    pool: pools.Pool,
+) -> None:
+    pool.submit("j1", pools.spec(pools.step()))
+    pool.settle()
+    ((_, worker),) = pool.running("j1").items()
+    worker.silent = True
+    pool.pass_time(pools.TIMING.lost_after_s - 2)
+    assert len(pool.running("j1")) == 1
+    pool.pass_time(4.0)
+    assert {run.run for run in pool.running("j1")} == {1, 2}
+
+
+def test_draining_worker_gets_no_new_task(pool: pools.Pool) -> None:
+    for fake in pool.workers[1:]:
+        fake.draining = True
+    pool.settle()
+    pool.submit("j1", pools.spec(pools.step(tasks=12)))
+    pool.settle()
+    assert set(pool.running("j1").values()) == {pool.workers[0]}
+    assert len(pool.running("j1")) == 8
+
+
+def test_worker_is_never_given_more_than_it_has(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step(tasks=30, cpu_milli=52_000)))
+    pool.settle()
+    assert len(pool.running("j1")) == 6
+    pool.end("j1", "done")
+    pool.settle()
+    assert len(pool.running("j1")) == 6
+
+
+def test_tasks_apart_share_no_more_workers_than_said(
+    pool: pools.Pool,
+) -> None:
+    pool.submit("j1", pools.spec(pools.step(tasks=6, most_per_worker=1)))
+    pool.settle()
+    assert sorted(len(fake.running) for fake in pool.workers) == [1, 1, 1]
+
+
+def test_label_is_needed(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step(label="b")))
+    pool.submit("j2", pools.spec(pools.step(label="a")))
+    pool.settle()
+    assert not pool.running("j1")
+    assert pool.running("j2")
+
+
+def test_occurrences_run_when_they_are_due(pool: pools.Pool) -> None:
+    due = pool.wall_ms + 1000
+    pool.submit(
+        "j1",
+        pools.spec(pools.step(), times=2, first_ms=due, period_ms=2000),
+    )
+    pool.settle()
+    assert not pool.running("j1")
+    pool.pass_time(1.5)
+    assert {run.task for run in pool.running("j1")} == {"j1.0.0.0"}
+    pool.end("j1", "done")
+    pool.pass_time(2.0)
+    assert {run.task for run in pool.running("j1")} == {"j1.1.0.0"}
+    pool.end("j1", "done")
+    pool.settle()
+    assert pool.state("j1") == model.COMPLETED
+
+
+def test_task_that_lasts_is_started_again(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step(long_running=True)))
+    for outcome in ("done", "failed", "failed", "failed", "lapsed"):
+        pool.pass_time(1.0)
+        assert len(pool.running("j1")) == 1
+        pool.end("j1", outcome)
+    pool.pass_time(1.0)
+    assert pool.state("j1") == model.RUNNING
+    assert len(pool.running("j1")) == 1
+
+
+def test_run_that_nobody_ordered_is_stopped(pool: pools.Pool) -> None:
+    stray = fleet.RunId("feedfeed.0.0.0", 4)
+    row = fleet.RunningTask(*stray, "", 0, 0)
+    pool.workers[0].running[stray] = row
+    pool.settle()
+    assert not pool.workers[0].running
+    known = pool.scheduler.workers[pool.workers[0].name]
+    assert not known.stops
+
+
+def _set_percent(pool: pools.Pool, run: fleet.RunId, percent: int) -> None:
+    for fake in pool.workers:
+        if run in fake.running:
+            row = fake.running[run]._replace(percent=percent)
+            fake.running[run] = row
+
+
+def test_slow_member_of_a_gang_is_not_taken_for_stalled(
+    pool: pools.Pool,
+) -> None:
+    # Members run at their workers' speeds; one that is ready waits.
+    pool.submit("j1", pools.spec(pools.step(tasks=2, gpus=8, gang=True)))
+    pool.settle()
+    fast, slow = pool.running("j1")
+    _set_percent(pool, fast, 100)
+    for percent in range(60, 100, 10):
+        _set_percent(pool, slow, percent)
+        pool.pass_time(1.5)
+    assert set(pool.running("j1")) == {fast, slow}
+
+
+def test_stalled_member_of_a_gang_is_moved(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step(tasks=2, gpus=8, gang=True)))
+    pool.settle()
+    moving, stuck = pool.running("j1")
+    its_worker = pool.running("j1")[stuck]
+    for percent in range(10, 60, 10):
+        _set_percent(pool, moving, percent)
+        pool.pass_time(1.0)
+    assert {run.run for run in pool.running("j1")} == {2}
+    assert not its_worker.running
+
+
+def test_guaranteed_urgent_job_reclaims_room_at_once() -> None:
+    pool = pools.Pool(guaranteed={"farrier": 8})
+    pool.submit("b1", pools.spec(pools.step(tasks=24), queue="batch"))
+    pool.settle()
+    assert len(pool.running("b1")) == 24
+    gang = pools.step(tasks=1, gpus=8, gang=True)
+    pool.submit("u1", pools.spec(gang, queue="urgent", account="farrier"))
+    pool.pass_time(1.0)
+    assert len(pool.running("u1")) == 1
+    assert len(pool.running("b1")) == 16
+
+
+def test_reclaim_spares_others_guarantees() -> None:
+    pool = pools.Pool(guaranteed={"farrier": 8, "vet": 8})
+    pool.submit("b1", pools.spec(pools.step(tasks=16), queue="batch"))
+    whole = pools.step(gpus=8)
+    pool.settle()
+    pool.submit("v1", pools.spec(whole, queue="urgent", account="vet"))
+    pool.settle()
+    vet = set(pool.running("v1"))
+    assert vet
+    pool.submit("u1", pools.spec(whole, queue="urgent", account="farrier"))
+    pool.pass_time(1.0)
+    assert len(pool.running("u1")) == 1
+    assert set(pool.running("v1")) == vet
+
+
+def test_nothing_is_reclaimed_beyond_a_guarantee() -> None:
+    pool = pools.Pool(guaranteed={"farrier": 8})
+    pool.submit("b1", pools.spec(pools.step(tasks=24), queue="batch"))
+    pool.settle()
+    whole = pools.step(tasks=2, gpus=8)
+    pool.submit("u1", pools.spec(whole, queue="urgent", account="farrier"))
+    pool.pass_time(1.0)
+    assert len(pool.running("u1")) == 1
+    assert len(pool.running("b1")) == 16
+
+
+def test_reclaim_takes_what_has_done_least_work() -> None:
+    pool = pools.Pool(guaranteed={"farrier": 8})
+    pool.submit("old", pools.spec(pools.step(tasks=2, gpus=8), queue="batch"))
+    pool.settle()
+    for run in pool.running("old"):
+        _set_percent(pool, run, 90)
+    pool.pass_time(1.0)
+    pool.submit("new", pools.spec(pools.step(gpus=8), queue="batch"))
+    pool.settle()
+    whole = pools.step(gpus=8)
+    pool.submit("u1", pools.spec(whole, queue="urgent", account="farrier"))
+    pool.pass_time(1.0)
+    assert pool.running("u1")
+    assert len(pool.running("old")) == 2
+    assert not pool.running("new")
