Obey a new owner's first orders; take over from a silent one in two seconds

Change: order numbers belong to their epoch; owner_watch measures silence by reads that succeeded, time without reads counts for nothing.

--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -19,6 +19,7 @@
 from kingcuplever import messages
 from kingcuplever import options
 from kingcuplever.process import owner_link
+from kingcuplever.process import owner_watch
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import scheduler as schedulers
@@ -39,13 +40,6 @@
 FOLLOWER_PACE_S: Final = 0.25
 # The owner appends at least so often, so that others see it live.
 _RENEW_S: Final = 0.7
-# Without any record of the owner for so long, another entry takes over.
-_SILENCE_S: Final = 2.0
-# The topic must have been read so recently before its silence counts.
-_FRESH_S: Final = 0.9
-# Entries that notice at the same time wait a part of this, stronger ones
-# less, so that the first claim is mostly the only one.
-_SPREAD_S: Final = 0.4
 _RETRY_S: Final = 0.1
 # How long orders to a side may stay unanswered.
 _ORDER_S: Final = 1.0
@@ -160,24 +154,17 @@
 
     async def _wait_for_silence(self) -> None:
         """Return once no owner has been heard for long enough."""
-        spread_s = _SPREAD_S * (1.25 - self._strength + random.random() / 4)
-        heard = self._board.owner_heard
-        since = trio.current_time()
+        watch = owner_watch.OwnerWatch(self._strength, random.random())
         while True:
             await trio.sleep(_RETRY_S)
-            now = trio.current_time()
-            blind = self._follower.age_s(now) > _FRESH_S
-            if blind or not self._policy.version:
-                # What can't be read is not silence.
-                since = max(since, now - _SILENCE_S / 2)
-                continue
-            if self._board.owner_heard != heard:
-                heard = self._board.owner_heard
-                since = now
             owner = self._board.owner
-            vacant = owner is None or owner.renewal == RESIGNED
-            wanted_s = spread_s if vacant else _SILENCE_S + spread_s
-            if now - since > wanted_s:
+            may_claim = watch.may_claim(
+                self._board.owner_heard,
+                self._follower.seen_at,
+                owner is None or owner.renewal == RESIGNED,
+                trio.current_time(),
+            )
+            if may_claim and self._policy.version and not self._resigned:
                 return
 
     async def _claim(self) -> int:
@@ -336,13 +323,17 @@
         self, reign: _Reign, records: tuple[keyed_log.KeyedRecord, ...]
     ) -> None:
         """Append until the log has it, or the epoch is lost."""
+        refused = False
         while True:
             try:
                 await reign.producer.append(records)
                 reign.appended_at = trio.current_time()
                 return
             except errors.LogRefused as error:
-                logs.warn(logs.Part.OWNER, f"Not appended: {error.detail}")
+                if not refused:
+                    text = f"Not appended: {error.detail}"
+                    logs.warn(logs.Part.OWNER, text)
+                refused = True
                 await trio.sleep(_RETRY_S)
             except errors.LogFenced as error:
                 logs.warn(logs.Part.OWNER, f"Fenced: {error.detail}")
--- a/kingcuplever/process/stored/following.py
+++ b/kingcuplever/process/stored/following.py
@@ -16,9 +16,9 @@
 from kingcuplever import errors
 from kingcuplever import logs
 
-# How long one long poll may stay unanswered; bounds how long a connection
-# that has gone silent goes unnoticed.
-POLL_WAIT_MS: Final = 1500
+# How long one read waits for a record; bounds how long a connection that
+# has gone silent goes unnoticed.
+POLL_WAIT_MS: Final = 700
 # Pause after a failed read, and its random part, so that readers that
 # failed together do not come back together.
 _RETRY_S: Final = 0.15
--- a/kingcuplever/process/worker_agent.py
+++ b/kingcuplever/process/worker_agent.py
@@ -102,6 +102,7 @@
         self._view_wanted_at = 0.0
         self._gone: list[executors.Registration] = []
         self._epoch = 0
+        self._orders_epoch = 0
         self._orders_number = 0
         self._starts: dict[fleet.RunId, fleet.StartOrder] = {}
         self._stops: set[fleet.RunId] = set()
@@ -158,7 +159,8 @@
         present = self._lives.present
         if present is None or orders.worker != self._name(present):
             return True
-        if orders.epoch > self._epoch:
+        if orders.epoch > self._orders_epoch:
+            self._orders_epoch = orders.epoch
             self._orders_number = 0
         self.heard_owner(orders.epoch)
         if orders.number <= self._orders_number:
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -20,7 +20,7 @@
     """Make a step; two seconds long unless said otherwise."""
     facts: dict[str, object] = {"estimate_ms": 2000, "memory_mb": 1000}
     facts |= more
-    return model.StepSpec(tasks, cpu_milli, gpus=gpus, **facts)  # type: ignore[arg-type]
+    return model.StepSpec(tasks, cpu_milli, gpus=gpus, **facts)  # type: ignore
 
 
 def spec(
--- /dev/null
+++ b/tests/test_worker_agent.py
@@ -0,0 +1,317 @@
+"""What a side does with the worker beside it, over a made-up worker."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+import pytest
+import trio
+
+from kingcuplever import errors
+from kingcuplever import messages
+from kingcuplever.process import executor as executors
+from kingcuplever.process import leases
+from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import model
+from kingcuplever.process import worker_agent
+
+TASK = "5c0e7a21d94b36f8.0.0.0"
+LEASE_MS = 6000
+
+
+class FakeExecutor:
+    """One worker at one address, over its lives."""
+
+    def __init__(self) -> None:
+        """Start the first life, with nothing running."""
+        self.life = "i-1"
+        self.running: dict[fleet.RunId, fleet.RunningTask] = {}
+        self.ended: list[fleet.EndedTask] = []
+        self.calls: list[str] = []
+        self.silent_starts = 0
+        self.late_starts: list[fleet.RunId] = []
+        self.start_reason = ""
+        self.closed: set[fleet.RunId] = set()
+        self.acked = 0
+        self.until_ms = 0
+
+    def _check(self, life: str) -> None:
+        if life != self.life:
+            raise errors.ExecutorChanged("another life")
+
+    async def start(
+        self,
+        life: str,
+        order: fleet.StartOrder,
+        until_ms: int,
+        epoch: int,
+    ) -> executors.StartAnswer:
+        """Start a task, or keep silent about it."""
+        self._check(life)
+        run = fleet.RunId(order.task, order.run)
+        self.calls.append(f"start {run.run}")
+        if self.silent_starts:
+            self.silent_starts -= 1
+            self.late_starts.append(run)
+            raise errors.PlatformFailed("no answer")
+        if self.start_reason:
+            return executors.StartAnswer(False, self.start_reason)
+        self._begin(run)
+        return executors.StartAnswer(True, "")
+
+    async def stop(self, life: str, run: fleet.RunId, epoch: int) -> bool:
+        """Stop a run, or close it for good."""
+        self._check(life)
+        self.calls.append(f"stop {run.run}")
+        self.closed.add(run)
+        if self.running.pop(run, None):
+            number = len(self.ended) + 1
+            self.ended.append(
+                fleet.EndedTask(number, run.task, run.run, "stopped", "")
+            )
+        return True
+
+    async def hold(
+        self,
+        life: str,
+        epoch: int,
+        acked: int,
+        until_ms: int | None,
+        wait_ms: int,
+    ) -> executors.View:
+        """List, after the wait."""
+        self._check(life)
+        await trio.sleep(wait_ms / 1000)
+        self._check(life)
+        self.acked = max(self.acked, acked)
+        self.until_ms = max(self.until_ms, until_ms or 0)
+        left = [row for row in self.ended if row.number > self.acked]
+        clock_ms = int(trio.current_time() * 1000)
+        return executors.View(
+            clock_ms, tuple(self.running.values()), tuple(left)
+        )
+
+    def carry_out_late(self) -> None:
+        """Carry out the starts that got no answer."""
+        for run in self.late_starts:
+            if run not in self.closed:
+                self._begin(run)
+
+    def _begin(self, run: fleet.RunId) -> None:
+        row = fleet.RunningTask(run.task, run.run, "", 0, 0)
+        self.running[run] = row
+
+
+def registration(
+    life: str = "i-1", sequence: int = 1, draining: bool = False
+) -> executors.Registration:
+    """Make what a worker says of itself."""
+    need = model.Need(128_000, 262_144, 8)
+    return executors.Registration(
+        life, sequence, "desk", "hall", need, ("a", "r1-1"), draining, 0
+    )
+
+
+def orders(
+    number: int,
+    *starts: int,
+    stops: tuple[int, ...] = (),
+    epoch: int = 1,
+    life: str = "i-1",
+    acked: int = 0,
+) -> messages.WorkerOrders:
+    """Make the owner's orders about runs of one task."""
+    return messages.WorkerOrders(
+        epoch,
+        number,
+        fleet.worker_name(life, "side-1"),
+        tuple(messages.StartRow(TASK, run, "payload", "") for run in starts),
+        tuple(messages.StopRow(TASK, run) for run in stops),
+        acked,
+    )
+
+
+Scenario = Callable[[worker_agent.WorkerAgent, FakeExecutor], Awaitable[None]]
+
+
+def play(scenario: Scenario, autojump: trio.testing.MockClock) -> None:
+    """Run a scenario beside an agent whose worker has registered."""
+
+    async def main() -> None:
+        fake = FakeExecutor()
+        agent = worker_agent.WorkerAgent("side-1", fake, LEASE_MS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(agent.run)
+            agent.heard_owner(1)
+            agent.registered(registration())
+            await trio.sleep(0.5)
+            await scenario(agent, fake)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=autojump)
+
+
+@pytest.fixture
+def clock() -> trio.testing.MockClock:
+    """Give a clock that jumps to the next event."""
+    return trio.testing.MockClock(autojump_threshold=0)
+
+
+def test_start_is_carried_out_and_listed(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        agent.take_orders(orders(1, 1))
+        await trio.sleep(1.5)
+        (report,) = agent.reports()
+        assert [(row.task, row.run) for row in report.running] == [(TASK, 1)]
+
+    play(scenario, clock)
+
+
+def test_orders_of_a_new_owner_are_obeyed_from_its_first(
+    clock: trio.testing.MockClock,
+) -> None:
+    # A side that had heard the new epoch in a reply once took the new
+    # owner's low numbers for old orders, and never stopped a cancelled task.
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        agent.take_orders(orders(7, 1))
+        await trio.sleep(1.5)
+        agent.heard_owner(2)
+        assert agent.take_orders(orders(1, stops=(1,), epoch=2))
+        await trio.sleep(1.5)
+        assert not fake.running
+
+    play(scenario, clock)
+
+
+def test_orders_of_a_past_owner_are_refused(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        agent.heard_owner(2)
+        assert not agent.take_orders(orders(9, 1, epoch=1))
+        await trio.sleep(1.0)
+        assert not fake.calls
+
+    play(scenario, clock)
+
+
+def test_unanswered_start_is_tried_until_it_is_there(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        fake.silent_starts = 2
+        agent.take_orders(orders(1, 1))
+        await trio.sleep(2.0)
+        assert len(fake.running) == 1
+
+    play(scenario, clock)
+
+
+def test_refused_start_that_may_come_late_is_closed_first(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        fake.silent_starts = 1
+        fake.start_reason = "unhealthy"
+        agent.take_orders(orders(1, 1))
+        await trio.sleep(2.0)
+        fake.carry_out_late()
+        assert not fake.running
+        (report,) = agent.reports()
+        assert [row.reason for row in report.refused] == ["unhealthy"]
+
+    play(scenario, clock)
+
+
+def test_withdrawn_start_that_may_come_late_is_stopped(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        fake.silent_starts = 100
+        agent.take_orders(orders(1, 1))
+        await trio.sleep(1.0)
+        agent.take_orders(orders(2, stops=(1,)))
+        await trio.sleep(2.0)
+        fake.carry_out_late()
+        assert not fake.running
+        (report,) = agent.reports()
+        assert [row.reason for row in report.refused] == ["stopped"]
+
+    play(scenario, clock)
+
+
+def test_draining_worker_starts_nothing(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        agent.registered(registration(sequence=2, draining=True))
+        agent.take_orders(orders(1, 1))
+        await trio.sleep(1.0)
+        assert not fake.calls
+        (report,) = agent.reports()
+        assert report.draining
+        assert [row.reason for row in report.refused] == ["draining"]
+
+    play(scenario, clock)
+
+
+def test_another_life_ends_the_one_before(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        fake.life = "i-2"
+        agent.registered(registration("i-2"))
+        await trio.sleep(2.0)
+        gone, present = agent.reports()
+        assert (gone.worker, gone.gone) == ("i-1@side-1", True)
+        assert (present.worker, present.gone) == ("i-2@side-1", False)
+
+    play(scenario, clock)
+
+
+def test_late_registration_of_a_dead_life_changes_nothing(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        fake.life = "i-2"
+        agent.registered(registration("i-2"))
+        await trio.sleep(2.0)
+        agent.registered(registration("i-1", sequence=99))
+        agent.registered(registration("i-0"))
+        await trio.sleep(2.0)
+        assert agent.reports()[-1].worker == "i-2@side-1"
+
+    play(scenario, clock)
+
+
+def test_lease_is_prolonged_alone_for_a_bounded_time(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        await trio.sleep(60.0)
+        alone_s = (fake.until_ms - LEASE_MS) / 1000
+        assert leases.ALONE_S - 2 < alone_s
+        assert alone_s < leases.ALONE_S + 1
+
+    play(scenario, clock)
