--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -72,6 +72,17 @@
         logs.info(logs.Part.CONFIG, text)
 
 
+def _reload() -> None:
+    """Check the settings again; what a process listens on stays."""
+    try:
+        host = settings.load()
+    except errors.SettingsError as error:
+        logs.warn(logs.Part.PROCESS, f"Settings not reloaded: {error.detail}")
+        return
+    text = f"Settings of {host.name} read again; nothing in use changes."
+    logs.info(logs.Part.PROCESS, text)
+
+
 async def run_entry(host: settings.HostSettings) -> None:
     """Run an entry until SIGTERM."""
     async with contextlib.AsyncExitStack() as stack:
@@ -106,6 +117,7 @@
         sink = _ConfigSink(fronts, owner)
         operator = following.Follower(log, queues.TOPIC, sink, _RARE_PACE_S)
         async with trio.open_nursery() as nursery:
+            await nursery.start(signals.reload_on_hangup, _reload)
             for task in (
                 follower.run,
                 operator.run,
@@ -174,6 +186,7 @@
         link = owner_link.OwnerLink(sink, agent)
         stop = trio.Event()
         async with trio.open_nursery() as nursery:
+            await nursery.start(signals.reload_on_hangup, _reload)
             for task in (agent.run, follower.run, link.run):
                 nursery.start_soon(task)
             await nursery.start(
--- a/kingcuplever/process/signals.py
+++ b/kingcuplever/process/signals.py
@@ -1,5 +1,6 @@
-"""Waits for the signals that ask a process to stop."""
+"""Waits for the signals that ask a process to stop or to reload."""
 
+from collections.abc import Callable
 import signal
 
 import trio
@@ -10,3 +11,18 @@
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         async for _ in received:
             return
+
+
+async def reload_on_hangup(
+    reload: Callable[[], None],
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Call back on every SIGHUP, which would end the process otherwise.
+
+    :param task_status: started once the signal is caught.
+    """
+    with trio.open_signal_receiver(signal.SIGHUP) as received:
+        task_status.started()
+        async for _ in received:
+            reload()
