--- a/kingcuplever/process/worker_agent.py
+++ b/kingcuplever/process/worker_agent.py
@@ -136,8 +136,6 @@
                 f" {'draining' if registration.draining else 'ready'}."
             )
             logs.info(logs.Part.MEMBER, text)
-            if registration.draining:
-                self._refuse_starts("draining")
             self._touch()
 
     def left(self, life: str) -> None:
@@ -172,7 +170,7 @@
             for row in orders.starts
         }
         stops = {fleet.RunId(*row) for row in orders.stops}
-        self._use_orders(starts, stops, present.draining)
+        self._use_orders(starts, stops)
         return True
 
     def reports(self) -> list[messages.WorkerReport]:
@@ -227,7 +225,6 @@
         self,
         starts: dict[fleet.RunId, fleet.StartOrder],
         stops: set[fleet.RunId],
-        draining: bool,
     ) -> None:
         """Begin what is new, give up what is no longer wanted."""
         for run in [*self._starts]:
@@ -243,21 +240,12 @@
         ]
         new_stops = stops - self._stops
         self._starts, self._stops = starts, stops
-        if draining and new_starts:
-            self._refuse_starts("draining")
-            new_starts = []
         assert self._nursery is not None
         for order in new_starts:
             self._nursery.start_soon(self._start, order)
         for run in new_stops:
             self._nursery.start_soon(self._stop, run)
 
-    def _refuse_starts(self, reason: str) -> None:
-        """Refuse the starts that no call has been made for."""
-        for run in self._starts:
-            if run not in self._busy and not self._lists(run):
-                self._refused.setdefault(run, reason)
-
     def _lists(self, run: fleet.RunId) -> bool:
         """Tell whether the worker's newest list has a run."""
         if self._view is None:
@@ -374,7 +362,7 @@
                 await trio.sleep(_RETRY_S)
                 continue
             if self._is_draining:
-                await self._refuse(life, run, "draining", in_doubt)
+                await self._refuse_unless_there(life, run)
                 return
             now = trio.current_time()
             until_ms = self._clock.until_ms(self._lease_ms, now)
@@ -400,6 +388,18 @@
             await self._refuse(life, run, answer.reason, in_doubt)
             return
 
+    async def _refuse_unless_there(self, life: str, run: fleet.RunId) -> None:
+        """Refuse a start for a worker that drains.
+
+        A start from before, by this process or another, may have been
+        carried out; a list that was asked for from now on shows that.
+        """
+        asked_at = trio.current_time()
+        while self._view is None or self._view_wanted_at <= asked_at:
+            await trio.sleep(_RETRY_S)
+        if not self._lists(run):
+            await self._refuse(life, run, "draining", True)
+
     async def _refuse(
         self, life: str, run: fleet.RunId, reason: str, in_doubt: bool
     ) -> None:
