Find stalled tasks by their worker's clock; let urgent work take cheap room

Cause: a hung task was moved after 3 s or more, twice an urgent job's slack; the measure ran on the owner's clock, where missing lists look like a standstill.

Change: reports carry the worker's clock; urgent groups may stop up to 600 core-seconds of less urgent work; an entry that finds itself named as owner at its start claims at once.

--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -2305,11 +2305,12 @@
      - running
      - ended
      - refused
+     - clock_ms
 
     """
 
 
-    def __init__(self, worker=None, side=None, data_centre=None, pool=None, cpu_milli=None, memory_mb=None, gpus=None, labels=None, draining=None, remaining_ms=None, gone=None, running=None, ended=None, refused=None,):
+    def __init__(self, worker=None, side=None, data_centre=None, pool=None, cpu_milli=None, memory_mb=None, gpus=None, labels=None, draining=None, remaining_ms=None, gone=None, running=None, ended=None, refused=None, clock_ms=None,):
         self.worker = worker
         self.side = side
         self.data_centre = data_centre
@@ -2324,6 +2325,7 @@
         self.running = running
         self.ended = ended
         self.refused = refused
+        self.clock_ms = clock_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2427,6 +2429,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.clock_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2505,6 +2512,10 @@
                 iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.clock_ms is not None:
+            oprot.writeFieldBegin('clock_ms', TType.I64, 15)
+            oprot.writeI64(self.clock_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3522,6 +3533,7 @@
     (12, TType.LIST, 'running', (TType.STRUCT, [RunningRow, None], False), None, ),  # 12
     (13, TType.LIST, 'ended', (TType.STRUCT, [EndedRow, None], False), None, ),  # 13
     (14, TType.LIST, 'refused', (TType.STRUCT, [RefusedRow, None], False), None, ),  # 14
+    (15, TType.I64, 'clock_ms', None, None, ),  # 15
 )
 all_structs.append(WorkerReply)
 WorkerReply.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -302,6 +302,7 @@
     :ivar worker: name of the worker's present life, with its side's.
     :ivar remaining_ms: least time until a draining worker leaves.
     :ivar gone: this life has ended; nothing runs there any more.
+    :ivar clock_ms: the worker's own clock when it gave these lists.
     """
 
     worker: str
@@ -318,6 +319,7 @@
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
     refused: tuple[RefusedRow, ...]
+    clock_ms: int
 
 
 class WorkerReply(NamedTuple):
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -158,10 +158,13 @@
         while True:
             await trio.sleep(_RETRY_S)
             owner = self._board.owner
+            # An owner of this very entry is a process that has ended.
+            vacant = owner is None or owner.renewal == RESIGNED
+            vacant = vacant or owner is None or owner.entry == self._name
             may_claim = watch.may_claim(
                 self._board.owner_heard,
                 self._follower.seen_at,
-                owner is None or owner.renewal == RESIGNED,
+                vacant,
                 trio.current_time(),
             )
             if may_claim and self._policy.version and not self._resigned:
@@ -392,6 +395,7 @@
         tuple(fleet.RunningTask(*row) for row in report.running),
         tuple(fleet.EndedTask(*row) for row in report.ended),
         tuple(fleet.RefusedTask(*row) for row in report.refused),
+        report.clock_ms,
     )
 
 
--- a/kingcuplever/process/scheduling/fleet.py
+++ b/kingcuplever/process/scheduling/fleet.py
@@ -76,6 +76,7 @@
     :ivar draining: it takes no new work and will leave.
     :ivar remaining_ms: least time left before it leaves; 0 if not known.
     :ivar gone: this life of the worker has ended.
+    :ivar clock_ms: the worker's own clock when it gave these lists.
     """
 
     worker: str
@@ -90,6 +91,7 @@
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
     refused: tuple[RefusedTask, ...]
+    clock_ms: int
 
 
 def worker_name(life: str, side: str) -> str:
@@ -118,6 +120,7 @@
     :ivar known: whether its capacity has been heard.
     :ivar linked: whether its side is linked now.
     :ivar heard_at: steady time of its last report.
+    :ivar clock_ms: its own clock at its last list.
     """
 
     def __init__(self, name: str, now: float) -> None:
@@ -134,6 +137,7 @@
         self.known = False
         self.linked = False
         self.heard_at = now
+        self.clock_ms = 0
         self.held: dict[RunId, model.Need] = {}
         self.starts: dict[RunId, StartOrder] = {}
         self.stops: set[RunId] = set()
@@ -160,6 +164,7 @@
         self.known = True
         self.linked = True
         self.heard_at = now
+        self.clock_ms = listing.clock_ms
         if self.capacity != listing.capacity:
             self.capacity = listing.capacity
             self._count_free()
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -23,10 +23,18 @@
 # Reports older than this make a worker no place for new work; two periods
 # of a side's reports and some slack.
 _FRESH_S: Final = 2.5
-# A task whose progress stands still so long is moved to another worker.
-_STALL_S: Final = 3.0
+# A task whose progress stands still for so long on its worker's clock is
+# moved: at least one list in between, and some hundredths of its work, the
+# smallest progress that a list shows, at several times the estimate.
+_STALL_MS: Final = 1600
+_STALL_PART: Final = 12
 # A task is not placed again at once after a run that came to nothing.
 _BACKOFF_S: Final = 0.2
+# Ends after which another worker can be tried at once.
+_NO_PAUSE: Final = frozenset(("failed", "lost", "stopped", "broken"))
+# Work, in core-seconds, that may be thrown away for an urgent group that no
+# guarantee covers; a few seconds of one whole worker.
+_URGENT_COST: Final = 600.0
 # A plan to reclaim room is given up when its victims are not gone by then.
 _CLAIM_S: Final = 3.0
 # Timeouts are looked for so often.
@@ -137,8 +145,6 @@
         if not worker.linked or listing.draining != worker.draining:
             worker.orders_changed = True
             self._place_wanted = True
-        if now - worker.heard_at > _FRESH_S:
-            self._excuse_silence(worker, now)
         worker.describe(listing, now)
         self._take_running(worker, listing.running, now)
         for refused in listing.refused:
@@ -308,26 +314,16 @@
             if group is None:
                 self._stop(worker, run)
                 continue
+            index = group.tasks.index(row.task)
+            group.note_progress(index, row.percent, worker.clock_ms)
             self._note_running(group, row, now)
 
-    def _excuse_silence(self, worker: fleet.Worker, now: float) -> None:
-        """Count no time as a standstill in which nothing was heard."""
-        for run in worker.held:
-            group = self._group_of(run)
-            if group is not None:
-                group.moved_at = [now] * len(group.tasks)
-
     def _note_running(
         self, group: work.Group, row: fleet.RunningTask, now: float
     ) -> None:
         job = group.job
         if not group.begun_at:
             group.begun_at = now
-            group.moved_at = [now] * len(group.tasks)
-        index = group.tasks.index(row.task)
-        if row.percent > group.percents[index]:
-            group.percents[index] = row.percent
-            group.moved_at[index] = now
         if row.saved:
             group.saved = row.saved
         if job.state == model.PENDING:
@@ -440,7 +436,8 @@
                 group.stopping = f"a member was {reason}"
                 self._stop_group(group)
             return
-        group.end_run(now + _BACKOFF_S, now)
+        pause_s = 0.0 if reason in _NO_PAUSE else _BACKOFF_S
+        group.end_run(now + pause_s, now)
         if job.ended:
             self._close_if_over(job)
         else:
@@ -562,11 +559,9 @@
                 continue
             if group.spec.long_running or not group.spec.estimate_ms:
                 continue
-            # One step of the reported progress may take as long as a
-            # hundredth of the work.
-            patience_s = _STALL_S + group.spec.estimate_ms / 10_000
+            patience_ms = _STALL_MS + group.spec.estimate_ms // _STALL_PART
             index = group.tasks.index(run.task)
-            if group.is_stuck(index, now, patience_s):
+            if group.is_stuck(index, worker.clock_ms, patience_ms):
                 group.stopping = "no progress"
                 group.avoid.add(worker.name)
                 text = f"{run.task} stands still on {worker.name}; it moves."
@@ -617,8 +612,10 @@
                 and urgent_gpus.get(account, 0) + group.gpus <= promised
             )
             placed = self._place(group, usable, rooms, now)
-            if not placed and entitled:
-                self._reclaim(group, usable, rooms, now)
+            urgent = self._queue_of(group.job).priority == 0
+            if not placed and urgent:
+                most = float("inf") if entitled else _URGENT_COST
+                self._reclaim(group, usable, rooms, most, now)
             elif not placed:
                 failed.add(shape)
             if self._queue_of(group.job).priority == 0:
@@ -657,16 +654,22 @@
         group: work.Group,
         usable: list[fleet.Worker],
         rooms: placement.Rooms,
+        most: float,
         now: float,
     ) -> None:
-        """Clear room for a group that its account's guarantee covers."""
+        """Clear room for an urgent group.
+
+        :param most: core-seconds of work that may be thrown away.
+        """
         if group in self._claims:
             return
         pool = self._queue_of(group.job).pool
         able = [w for w in usable if placement.may_run(w, group, pool, now)]
-        search = reclaim.Search(rooms, self._find_victims(able), now)
+        guaranteed = most == float("inf")
+        victims = self._find_victims(able, guaranteed)
+        search = reclaim.Search(rooms, victims, now)
         plan = search.find(group, able)
-        if plan is None:
+        if plan is None or plan.cost > most:
             return
         self._claims[group] = _Claim(plan.workers, now)
         for name in plan.workers:
@@ -684,12 +687,14 @@
                 self._stop_group(victim)
 
     def _find_victims(
-        self, workers: list[fleet.Worker]
+        self, workers: list[fleet.Worker], guaranteed: bool
     ) -> dict[str, list[work.Group]]:
         """Give the groups on each worker that may be stopped.
 
         Urgent work within its account's guarantee is spared, and so is
         work whose tasks may not be away.
+
+        :param guaranteed: other urgent work may be stopped as well.
         """
         spared = self._find_guaranteed()
         victims: dict[str, list[work.Group]] = {}
@@ -699,7 +704,10 @@
                 group = self._group_of(run)
                 if group is None or group.phase != work.ASSIGNED:
                     continue
-                if group not in spared and not group.spec.may_miss:
+                urgent = self._queue_of(group.job).priority == 0
+                if urgent and (group in spared or not guaranteed):
+                    continue
+                if not group.spec.may_miss:
                     groups[group] = None
             victims[worker.name] = list(groups)
         return victims
@@ -775,7 +783,7 @@
         self, group: work.Group, places: placement.Places, now: float
     ) -> None:
         del self._ready[group]
-        group.begin_run(places.workers, now)
+        group.begin_run(places.workers)
         for index, name in enumerate(places.workers):
             run = fleet.RunId(group.tasks[index], group.run)
             self.workers[name].hold(run, group.spec.need)
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -22,7 +22,8 @@
     :ivar failed: whether a member of the present run has failed.
     :ivar stopping: why the present run is being stopped, or empty.
     :ivar percents: reported progress of each member.
-    :ivar moved_at: steady time when each member's progress last grew.
+    :ivar moved_ms: its worker's clock when each member's progress last
+        grew; 0 until it is listed.
     :ivar begun_at: steady time when the run was first seen running, or 0.
     :ivar ready_at: steady time since when it waits for a place.
     :ivar not_before: steady time before which it is not placed again.
@@ -44,7 +45,7 @@
         "failed",
         "stopping",
         "percents",
-        "moved_at",
+        "moved_ms",
         "begun_at",
         "ready_at",
         "not_before",
@@ -73,7 +74,7 @@
         self.failed = False
         self.stopping = ""
         self.percents = [0] * count
-        self.moved_at = [0.0] * count
+        self.moved_ms = [0] * count
         self.begun_at = 0.0
         self.ready_at = 0.0
         self.not_before = 0.0
@@ -123,10 +124,19 @@
         self.saved = row.saved
         if len(row.workers) == len(self.holders):
             self.holders = list(row.workers)
-        self.moved_at = [now] * len(self.holders)
         self.begun_at = self.ready_at = now
 
-    def is_stuck(self, index: int, now: float, patience_s: float) -> bool:
+    def note_progress(self, index: int, percent: int, clock_ms: int) -> None:
+        """Take in what a member's worker lists.
+
+        :param clock_ms: the worker's clock at that list; time in which no
+            list came is no standstill.
+        """
+        if percent > self.percents[index] or not self.moved_ms[index]:
+            self.percents[index] = percent
+            self.moved_ms[index] = clock_ms
+
+    def is_stuck(self, index: int, clock_ms: int, patience_ms: int) -> bool:
         """Tell whether a member should have made progress and has not.
 
         A member that is ready waits for the others, and all of a gang wait
@@ -135,15 +145,16 @@
         if self.percents[index] >= _ALL_DONE:
             return False
         if not any(self.percents) and len(self.tasks) > 1:
-            patience_s *= 2
-        return now - self.moved_at[index] > patience_s
+            patience_ms *= 2
+        moved_ms = self.moved_ms[index]
+        return moved_ms > 0 and clock_ms - moved_ms > patience_ms
 
-    def begin_run(self, holders: tuple[str, ...], now: float) -> None:
+    def begin_run(self, holders: tuple[str, ...]) -> None:
         """Begin another run on some workers."""
         self.run += 1
         self.phase = ASSIGNED
         self.holders = list(holders)
-        self._clear(now)
+        self._clear()
 
     def end_run(self, not_before: float, now: float) -> None:
         """Wait for a place again."""
@@ -152,15 +163,15 @@
         self.phase = WAITING
         self.not_before = not_before
         self.ready_at = now
-        self._clear(now)
+        self._clear()
 
-    def _clear(self, now: float) -> None:
+    def _clear(self) -> None:
         """Forget what was about one run."""
         self.failed = False
         self.stopping = ""
         self.begun_at = 0.0
         self.percents = [0] * len(self.tasks)
-        self.moved_at = [now] * len(self.tasks)
+        self.moved_ms = [0] * len(self.tasks)
 
 
 class Occurrence:
--- a/kingcuplever/process/worker_agent.py
+++ b/kingcuplever/process/worker_agent.py
@@ -215,6 +215,7 @@
                 messages.RefusedRow(run.task, run.run, reason)
                 for run, reason in refused.items()
             ),
+            0 if view is None else view.clock_ms,
         )
 
     def _touch(self) -> None:
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -47,6 +47,7 @@
         self.ended: list[fleet.EndedTask] = []
         self.closed: dict[str, int] = {}
         self.refused: dict[fleet.RunId, str] = {}
+        self.stalled: set[fleet.RunId] = set()
         self.begun: list[fleet.StartOrder] = []
         self._number = 0
 
@@ -78,8 +79,12 @@
             elif all((e.task, e.run) != run for e in self.ended):
                 self.refused[run] = "stopped"
 
-    def listing(self) -> fleet.Listing:
-        """Report what a side would report."""
+    def listing(self, clock_ms: int) -> fleet.Listing:
+        """Report what a side would report; tasks go on a little."""
+        for run, row in self.running.items():
+            if run not in self.stalled:
+                percent = min(99, row.percent + 1)
+                self.running[run] = row._replace(percent=percent)
         return fleet.Listing(
             self.name,
             self.side,
@@ -96,6 +101,7 @@
                 fleet.RefusedTask(run.task, run.run, reason)
                 for run, reason in self.refused.items()
             ),
+            clock_ms,
         )
 
 
@@ -159,7 +165,9 @@
             known = self.scheduler.workers.get(fake.name)
             if known is not None:
                 fake.obey(known)
-            self.scheduler.report(fake.listing(), self.now, self.wall_ms)
+            self.scheduler.report(
+                fake.listing(self.wall_ms), self.now, self.wall_ms
+            )
 
     def settle(self, rounds: int = 4) -> None:
         """Let decisions, records and orders go round, in little time."""
--- a/tests/test_job_scheduling.py
+++ b/tests/test_job_scheduling.py
@@ -265,20 +265,18 @@
     pool.settle()
     fast, slow = pool.running("j1")
     _set_percent(pool, fast, 100)
-    for percent in range(60, 100, 10):
-        _set_percent(pool, slow, percent)
-        pool.pass_time(1.5)
+    pool.running("j1")[fast].stalled.add(fast)
+    pool.pass_time(6.0)
     assert set(pool.running("j1")) == {fast, slow}
 
 
 def test_stalled_member_of_a_gang_is_moved(pool: pools.Pool) -> None:
     pool.submit("j1", pools.spec(pools.step(tasks=2, gpus=8, gang=True)))
     pool.settle()
-    moving, stuck = pool.running("j1")
+    _, stuck = pool.running("j1")
     its_worker = pool.running("j1")[stuck]
-    for percent in range(10, 60, 10):
-        _set_percent(pool, moving, percent)
-        pool.pass_time(1.0)
+    its_worker.stalled.add(stuck)
+    pool.pass_time(4.0)
     assert {run.run for run in pool.running("j1")} == {2}
     assert not its_worker.running
 
@@ -314,6 +312,7 @@
     pool = pools.Pool(guaranteed={"farrier": 8})
     pool.submit("b1", pools.spec(pools.step(tasks=24), queue="batch"))
     pool.settle()
+    pool.pass_time(6.0)
     whole = pools.step(tasks=2, gpus=8)
     pool.submit("u1", pools.spec(whole, queue="urgent", account="farrier"))
     pool.pass_time(1.0)
@@ -321,6 +320,30 @@
     assert len(pool.running("b1")) == 16
 
 
+def test_urgent_job_beyond_its_guarantee_takes_only_cheap_room() -> None:
+    # Work that has hardly begun costs less than an urgent job that is late.
+    pool = pools.Pool()
+    pool.submit("b1", pools.spec(pools.step(tasks=24), queue="batch"))
+    pool.settle()
+    pool.submit("u1", pools.spec(pools.step(gpus=8), queue="urgent"))
+    pool.pass_time(1.0)
+    assert len(pool.running("u1")) == 1
+    assert len(pool.running("b1")) == 16
+
+
+def test_list_that_does_not_come_is_no_standstill(pool: pools.Pool) -> None:
+    pool.submit("j1", pools.spec(pools.step()))
+    pool.settle()
+    (run,) = pool.running("j1")
+    (worker,) = pool.running("j1").values()
+    for _ in range(3):
+        pool.settle()
+        worker.silent = True
+        pool.pass_time(6.0)
+        worker.silent = False
+    assert set(pool.running("j1")) == {run}
+
+
 def test_reclaim_takes_what_has_done_least_work() -> None:
     pool = pools.Pool(guaranteed={"farrier": 8})
     pool.submit("old", pools.spec(pools.step(tasks=2, gpus=8), queue="batch"))
