--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -147,10 +147,11 @@
             self._place_wanted = True
         worker.describe(listing, now)
         self._take_running(worker, listing.running, now)
-        for refused in listing.refused:
-            self._take_refused(worker, refused, now)
+        # An end says more than a refusal of the same run.
         for ended in listing.ended:
             self._take_ended(worker, ended, now, wall_ms)
+        for refused in listing.refused:
+            self._take_refused(worker, refused, now)
 
     def side_lost(self, side: str) -> None:
         """A side's link has ended; its worker may well go on."""
--- a/kingcuplever/process/worker_agent.py
+++ b/kingcuplever/process/worker_agent.py
@@ -363,7 +363,7 @@
                 await trio.sleep(_RETRY_S)
                 continue
             if self._is_draining:
-                await self._refuse_unless_there(life, run)
+                await self._refuse_unless_there(life, run, "draining", True)
                 return
             now = trio.current_time()
             until_ms = self._clock.until_ms(self._lease_ms, now)
@@ -385,21 +385,24 @@
             if answer.reason in ("late", "fence"):
                 await trio.sleep(_RETRY_S)
                 continue
-            in_doubt = in_doubt and answer.reason != "old"
-            await self._refuse(life, run, answer.reason, in_doubt)
+            if answer.reason == "old":
+                await self._refuse_unless_there(life, run, "old", False)
+            else:
+                await self._refuse(life, run, answer.reason, in_doubt)
             return
 
-    async def _refuse_unless_there(self, life: str, run: fleet.RunId) -> None:
-        """Refuse a start for a worker that drains.
+    async def _refuse_unless_there(
+        self, life: str, run: fleet.RunId, reason: str, in_doubt: bool
+    ) -> None:
+        """Refuse a start that an earlier one may have been carried out for.
 
-        A start from before, by this process or another, may have been
-        carried out; a list that was asked for from now on shows that.
+        A list that was asked for from now on shows whether it was.
         """
         asked_at = trio.current_time()
         while self._view is None or self._view_wanted_at <= asked_at:
             await trio.sleep(_RETRY_S)
         if not self._lists(run):
-            await self._refuse(life, run, "draining", True)
+            await self._refuse(life, run, reason, in_doubt)
 
     async def _refuse(
         self, life: str, run: fleet.RunId, reason: str, in_doubt: bool
--- a/tests/test_job_scheduling.py
+++ b/tests/test_job_scheduling.py
@@ -359,3 +359,28 @@
     assert pool.running("u1")
     assert len(pool.running("old")) == 2
     assert not pool.running("new")
+
+
+def test_ended_job_is_forgotten_when_nobody_need_ask_for_it() -> None:
+    timing = pools.TIMING._replace(status_s=120.0)
+    pool = pools.Pool(timing=timing)
+    pool.submit("j1", pools.spec(pools.step()))
+    pool.settle()
+    pool.end("j1", "done")
+    pool.pass_time(119.0)
+    assert pool.state("j1") == model.COMPLETED
+    pool.pass_time(60.0)
+    assert "j1" not in pool.board.jobs
+
+
+def test_end_is_taken_before_a_refusal_of_the_same_run(
+    pool: pools.Pool,
+) -> None:
+    # A successor asks again for a start that has ended; the worker lists
+    # the end and refuses the start as old.
+    pool.submit("j1", pools.spec(pools.step()))
+    pool.settle()
+    pool.end("j1", "done")
+    pool.take_over()
+    pool.settle()
+    assert pool.state("j1") == model.COMPLETED
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -312,6 +312,28 @@
     play(scenario, clock)
 
 
+def test_ended_task_is_listed_and_not_refused_as_old(
+    clock: trio.testing.MockClock,
+) -> None:
+    # A new owner asks again for a start that ended a moment ago.
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        fake.start_reason = "old"
+        await trio.sleep(0.3)
+        fake.ended.append(fleet.EndedTask(1, TASK, 1, "done", ""))
+        agent.take_orders(orders(1, 1))
+        await trio.sleep(0.2)
+        (report,) = agent.reports()
+        assert not report.refused
+        await trio.sleep(2.0)
+        (report,) = agent.reports()
+        assert not report.refused
+        assert [row.outcome for row in report.ended] == ["done"]
+
+    play(scenario, clock)
+
+
 def test_another_life_ends_the_one_before(
     clock: trio.testing.MockClock,
 ) -> None:
