--- a/kingcuplever/platform/front.py
+++ b/kingcuplever/platform/front.py
@@ -4,11 +4,14 @@
 import time
 from typing import Final
 
+import trio
+
 from kingcuplever.connection import http_server
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever.platform import queues
 from kingcuplever.process import job_desk
+from kingcuplever.process import job_metrics
 from kingcuplever.version import job_queues
 
 _KEY: Final = "x-api-key"
@@ -26,15 +29,29 @@
 class Front:
     """Answers callers on one entry."""
 
-    def __init__(self, desk: job_desk.JobDesk) -> None:
+    def __init__(
+        self, desk: job_desk.JobDesk, metrics: job_metrics.JobMetrics
+    ) -> None:
         """Answer through a desk, once there is a configuration."""
         self.queues: job_queues.JobQueues | None = None
         self._desk = desk
+        self._metrics = metrics
 
     async def handle(
         self, request: http_server.HttpRequest
     ) -> http_server.HttpResponse:
         """Answer one request."""
+        began_at = trio.current_time()
+        answer = await self._answer(request)
+        seconds = trio.current_time() - began_at
+        measures = self._metrics
+        measures.answers.labels(request.method, str(answer.status)).inc()
+        measures.answer_seconds.labels(request.method).observe(seconds)
+        return answer
+
+    async def _answer(
+        self, request: http_server.HttpRequest
+    ) -> http_server.HttpResponse:
         try:
             return await self._handle(request)
         except errors.KingcupleverError as error:
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -18,6 +18,7 @@
 from kingcuplever.platform import settings
 from kingcuplever.platform import store
 from kingcuplever.process import job_desk
+from kingcuplever.process import job_metrics
 from kingcuplever.process import job_owner
 from kingcuplever.process import leases
 from kingcuplever.process import owner_link
@@ -85,6 +86,7 @@
 
 async def run_entry(host: settings.HostSettings) -> None:
     """Run an entry until SIGTERM."""
+    metrics = job_metrics.JobMetrics()
     async with contextlib.AsyncExitStack() as stack:
         client = await stack.enter_async_context(
             http_client.HttpClient(host.log, leases.ALONE_S)
@@ -92,7 +94,11 @@
         log = store.Store(client)
         board = job_board.JobBoard()
         follower = following.Follower(
-            log, job_records.TOPIC, board, job_owner.FOLLOWER_PACE_S
+            log,
+            job_records.TOPIC,
+            board,
+            job_owner.FOLLOWER_PACE_S,
+            metrics,
         )
 
         def make_producer() -> producing.Producer:
@@ -101,7 +107,7 @@
 
         appender = producing.GroupAppender(make_producer)
         desk = job_desk.JobDesk(board, follower, appender)
-        fronts = front.Front(desk)
+        fronts = front.Front(desk, metrics)
         timing = schedulers.Timing(
             leases.lost_after_s(host.lease_ms / 1000), host.status_s
         )
@@ -113,9 +119,12 @@
             follower,
             board,
             timing,
+            metrics,
         )
         sink = _ConfigSink(fronts, owner)
-        operator = following.Follower(log, queues.TOPIC, sink, _RARE_PACE_S)
+        operator = following.Follower(
+            log, queues.TOPIC, sink, _RARE_PACE_S, metrics
+        )
         async with trio.open_nursery() as nursery:
             await nursery.start(signals.reload_on_hangup, _reload)
             for task in (
@@ -125,10 +134,33 @@
                 owner.run,
             ):
                 nursery.start_soon(task)
+            await nursery.start(_serve_metrics, host, metrics)
             await _serve_callers(host, fronts, desk, owner)
             nursery.cancel_scope.cancel()
 
 
+async def _serve_metrics(
+    host: settings.HostSettings,
+    metrics: job_metrics.JobMetrics,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the metrics; a process goes on where their port is taken.
+
+    :param task_status: started once the socket listens, or can't.
+    """
+    try:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                http_server.serve, host.metrics, metrics.handle, trio.Event()
+            )
+            task_status.started()
+    except* OSError as group:
+        text = f"No metrics at {host.metrics}: {group.exceptions[0]}"
+        logs.warn(logs.Part.PROCESS, text)
+        task_status.started()
+
+
 async def _serve_callers(
     host: settings.HostSettings,
     fronts: front.Front,
@@ -165,6 +197,7 @@
 
 async def run_side(host: settings.HostSettings) -> None:
     """Run a side until SIGTERM."""
+    metrics = job_metrics.JobMetrics()
     async with contextlib.AsyncExitStack() as stack:
         log_client = await stack.enter_async_context(
             http_client.HttpClient(host.log, leases.ALONE_S)
@@ -173,7 +206,10 @@
             http_client.HttpClient(host.worker, leases.ALONE_S)
         )
         agent = worker_agent.WorkerAgent(
-            host.name, executor.Executor(worker_client), host.lease_ms
+            host.name,
+            executor.Executor(worker_client),
+            host.lease_ms,
+            metrics,
         )
         sink = owner_link.OwnerSink()
         follower = following.Follower(
@@ -181,6 +217,7 @@
             owner_link.TOPIC,
             sink,
             _RARE_PACE_S,
+            metrics,
             _SIDE_POLL_MS,
         )
         link = owner_link.OwnerLink(sink, agent)
@@ -189,6 +226,7 @@
             await nursery.start(signals.reload_on_hangup, _reload)
             for task in (agent.run, follower.run, link.run):
                 nursery.start_soon(task)
+            await nursery.start(_serve_metrics, host, metrics)
             await nursery.start(
                 http_server.serve, host.registry, _registry(agent), stop
             )
--- a/kingcuplever/platform/settings.py
+++ b/kingcuplever/platform/settings.py
@@ -9,6 +9,8 @@
 from kingcuplever import errors
 
 _PATH_VARIABLE: Final = "KINGCUPLEVER_SETTINGS"
+# Where deploy/system.toml says that the metrics are.
+_METRICS_PORT: Final = 9464
 
 
 class HostSettings(NamedTuple):
@@ -20,6 +22,7 @@
     :ivar registry: address where the worker registers; empty on an entry.
     :ivar worker: address of the worker beside a side, or empty.
     :ivar peers: address of our own processes' links.
+    :ivar metrics: address of the process's own metrics.
     :ivar log: address of the platform's log.
     :ivar strength: 0 to 1, how much of a host it is beside others.
     :ivar lease_ms: longest lease that a worker grants.
@@ -34,6 +37,7 @@
     registry: str
     worker: str
     peers: str
+    metrics: str
     log: str
     strength: float
     lease_ms: int
@@ -75,6 +79,7 @@
         registry=read.text("Listen.Control", ""),
         worker=read.text("app", ""),
         peers=f"{host}:{first_port}",
+        metrics=f"{host}:{read.at('MetricsPort', int, _METRICS_PORT)}",
         log=read.text("platform.Address"),
         strength=_strength(cores, mbps),
         lease_ms=int(read.number("Bounds.HoldMaxMs")),
--- /dev/null
+++ b/kingcuplever/process/job_metrics.py
@@ -0,0 +1,93 @@
+"""Prometheus metrics of the processes that take, schedule and run jobs."""
+
+from typing import Final
+
+import prometheus_client
+
+from kingcuplever.connection import http_server
+from kingcuplever import errors
+
+_SHORT_S: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+_LONG_S: Final = (0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 300, 3600)
+
+
+class JobMetrics:
+    """All metrics of one process, in a registry of their own."""
+
+    def __init__(self) -> None:
+        """Register the metrics."""
+        self.registry = prometheus_client.CollectorRegistry()
+        self.answers = prometheus_client.Counter(
+            "kingcuplever_job_answers",
+            "Answers to callers of jobs by method and status.",
+            ["method", "status"],
+            registry=self.registry,
+        )
+        self.answer_seconds = prometheus_client.Histogram(
+            "kingcuplever_job_answer_seconds",
+            "Time from a caller's request to its answer.",
+            ["method"],
+            buckets=_SHORT_S,
+            registry=self.registry,
+        )
+        self.owning = prometheus_client.Gauge(
+            "kingcuplever_job_owning",
+            "1 where this entry schedules.",
+            registry=self.registry,
+        )
+        self.epoch = prometheus_client.Gauge(
+            "kingcuplever_job_epoch",
+            "Epoch that this entry owned last.",
+            registry=self.registry,
+        )
+        self.jobs = prometheus_client.Gauge(
+            "kingcuplever_scheduled_jobs",
+            "Jobs that are not over, as the owner holds them.",
+            registry=self.registry,
+        )
+        self.workers = prometheus_client.Gauge(
+            "kingcuplever_scheduled_workers",
+            "Workers that the owner knows.",
+            registry=self.registry,
+        )
+        self.decision_seconds = prometheus_client.Histogram(
+            "kingcuplever_decision_seconds",
+            "Time of one look at all that waits for a place.",
+            buckets=(0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.025),
+            registry=self.registry,
+        )
+        self.append_seconds = prometheus_client.Histogram(
+            "kingcuplever_append_seconds",
+            "Time until the log has taken a batch of the owner's.",
+            buckets=_SHORT_S,
+            registry=self.registry,
+        )
+        self.log_failures = prometheus_client.Counter(
+            "kingcuplever_log_failures",
+            "Reads of the log that failed.",
+            ["topic"],
+            registry=self.registry,
+        )
+        self.task_orders = prometheus_client.Counter(
+            "kingcuplever_task_orders",
+            "Starts and stops at this side's worker by outcome.",
+            ["order", "outcome"],
+            registry=self.registry,
+        )
+        self.alone_seconds = prometheus_client.Gauge(
+            "kingcuplever_side_alone_seconds",
+            "Time since this side heard an owner.",
+            registry=self.registry,
+        )
+
+    async def handle(
+        self, request: http_server.HttpRequest
+    ) -> http_server.HttpResponse:
+        """Give the text that Prometheus reads."""
+        if request.path != "/metrics":
+            raise errors.KingcupleverError(
+                f"There is no {request.path} here.", errors.Code.NOT_FOUND
+            )
+        text = prometheus_client.generate_latest(self.registry)
+        kind = ("content-type", "text/plain; version=0.0.4; charset=utf-8")
+        return http_server.HttpResponse(200, (kind,), text)
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -18,6 +18,7 @@
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever import options
+from kingcuplever.process import job_metrics
 from kingcuplever.process import owner_link
 from kingcuplever.process import owner_watch
 from kingcuplever.process.scheduling import fleet
@@ -81,6 +82,7 @@
         follower: following.Follower,
         board: job_board.JobBoard,
         timing: schedulers.Timing,
+        metrics: job_metrics.JobMetrics,
     ) -> None:
         """Follow; nothing is claimed yet.
 
@@ -94,6 +96,7 @@
         self._follower = follower
         self._board = board
         self._timing = timing
+        self._metrics = metrics
         self._policy = model.Policy(0, {}, {})
         self._links: dict[str, peers.Peer] = {}
         self._reign: _Reign | None = None
@@ -217,6 +220,8 @@
         """Own until a newer epoch is seen."""
         reign = self._reign
         assert reign is not None
+        self._metrics.owning.set(1)
+        self._metrics.epoch.set(epoch)
         self._follower.pace_s = OWNER_PACE_S
         self._follower.hurry()
         try:
@@ -228,6 +233,7 @@
                 nursery.cancel_scope.cancel()
         finally:
             self._reign = None
+            self._metrics.owning.set(0)
             self._follower.pace_s = FOLLOWER_PACE_S
             logs.warn(logs.Part.OWNER, f"Epoch {epoch} is lost.")
             for peer in [*self._links.values()]:
@@ -256,7 +262,10 @@
             if present is not None and present.epoch > reign.epoch:
                 reign.lost.set()
                 return
-            reign.scheduler.tick(trio.current_time(), _wall_ms())
+            with self._metrics.decision_seconds.time():
+                reign.scheduler.tick(trio.current_time(), _wall_ms())
+            self._metrics.jobs.set(len(reign.scheduler.jobs))
+            self._metrics.workers.set(len(reign.scheduler.workers))
             for line in reign.scheduler.take_said():
                 logs.info(line.part, line.text)
             self._send_orders(reign, nursery)
@@ -329,8 +338,11 @@
         refused = False
         while True:
             try:
+                began_at = trio.current_time()
                 await reign.producer.append(records)
                 reign.appended_at = trio.current_time()
+                seconds = reign.appended_at - began_at
+                self._metrics.append_seconds.observe(seconds)
                 return
             except errors.LogRefused as error:
                 if not refused:
--- a/kingcuplever/process/stored/following.py
+++ b/kingcuplever/process/stored/following.py
@@ -15,6 +15,7 @@
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import logs
+from kingcuplever.process import job_metrics
 
 # How long one read waits for a record; bounds how long a connection that
 # has gone silent goes unnoticed.
@@ -48,6 +49,7 @@
         topic: str,
         sink: Sink,
         pace_s: float,
+        metrics: job_metrics.JobMetrics,
         wait_ms: int = POLL_WAIT_MS,
     ) -> None:
         """Follow a topic; nothing is read yet.
@@ -59,6 +61,7 @@
         self.seen_at = float("-inf")
         self.pace_s = pace_s
         self._log = log
+        self._failures = metrics.log_failures.labels(topic)
         self._wait_ms = wait_ms
         self._topic = topic
         self._sink = sink
@@ -142,6 +145,7 @@
             logs.info(logs.Part.LOG, text)
 
     def _note_failure(self, error: errors.LogUnavailable) -> None:
+        self._failures.inc()
         if not self._failing:
             self._failing = True
             text = f"Topic {self._topic} can't be read: {error.detail}"
--- a/kingcuplever/process/worker_agent.py
+++ b/kingcuplever/process/worker_agent.py
@@ -13,6 +13,7 @@
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever.process import executor as executors
+from kingcuplever.process import job_metrics
 from kingcuplever.process import leases
 from kingcuplever.process.scheduling import fleet
 
@@ -87,6 +88,7 @@
         side: str,
         worker: executors.Executor,
         lease_ms: int,
+        metrics: job_metrics.JobMetrics,
     ) -> None:
         """Wait for the worker to register.
 
@@ -96,6 +98,8 @@
         self._side = side
         self._worker = worker
         self._lease_ms = lease_ms
+        self._orders_done = metrics.task_orders
+        metrics.alone_seconds.set_function(self._alone_s)
         self._lives = Registered()
         self._clock = leases.WorkerClock()
         self._view: executors.View | None = None
@@ -114,6 +118,14 @@
         self._registered = trio.Event()
         self._nursery: trio.Nursery | None = None
 
+    def _alone_s(self) -> float:
+        """Give the time since an owner was heard, for the metrics."""
+        try:
+            return trio.current_time() - self._heard_owner_at
+        except RuntimeError:
+            # Read from outside of the running process, as tests do.
+            return 0.0
+
     @property
     def _is_draining(self) -> bool:
         present = self._lives.present
@@ -379,6 +391,8 @@
                 logs.warn(logs.Part.TASK, text)
                 await trio.sleep(_RETRY_S)
                 continue
+            outcome = answer.reason or "accepted"
+            self._orders_done.labels("start", outcome).inc()
             if answer.accepted:
                 logs.info(logs.Part.TASK, f"{run.task} run {run.run} started.")
                 return
@@ -437,6 +451,7 @@
         while True:
             try:
                 if await self._worker.stop(life, run, self._epoch):
+                    self._orders_done.labels("stop", "accepted").inc()
                     text = f"{run.task} run {run.run} is being stopped."
                     logs.info(logs.Part.TASK, text)
                     return True
--- a/standins/wire_site.py
+++ b/standins/wire_site.py
@@ -45,6 +45,7 @@
     registry: str
     worker: str
     peers: str
+    metrics: str
 
 
 class Process:
@@ -213,6 +214,11 @@
         records = [v for k, v in self.store.keys("jobs") if k == "owner"]
         return str(json.loads(records[-1])[1]) if records else ""
 
+    def metrics(self, name: str) -> str:
+        """Give the metrics that a process shows."""
+        address = self._plans[name][1].metrics
+        return fleet.call(address, "GET", "/metrics").content.decode()
+
     def registry(self, side: str) -> str:
         """Give the address where a side's worker registers."""
         return self._plans[side][1].registry
@@ -266,6 +272,7 @@
 Zone = "hall"
 Ip = "127.0.0.1"
 PortRange = [{port}, {port}]
+MetricsPort = {addresses.metrics.partition(":")[2]}
 app = "{addresses.worker}"
 [Listen]
 Front = "{addresses.callers}"
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -240,3 +240,23 @@
         [sys.executable, "-c", program], capture_output=True, check=True
     )
     assert done.stdout == b""
+
+
+def test_metrics_and_logs_tell_of_a_job(site: wire_site.Site) -> None:
+    site.call("entry-0", "POST", JOB, wire_site.job(0.3))
+    site.wait_for("entry-0", JOB, "completed")
+    shown = site.metrics("entry-0")
+    wanted = 'kingcuplever_job_answers_total{method="POST",status="200"} 1.0'
+    assert wanted in shown
+    assert "kingcuplever_decision_seconds_count" in site.metrics(site.owner())
+    started = [
+        name
+        for name in site.sides
+        if 'outcome="accepted"' in site.metrics(name)
+    ]
+    assert len(started) == 1
+    log = site.entries[site.owner()].log()
+    for event in ("taken", "go to", "done, end 1", "is completed"):
+        assert any(
+            JOB in line and event in line for line in log.splitlines()
+        ), event
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -9,6 +9,7 @@
 from kingcuplever import errors
 from kingcuplever import messages
 from kingcuplever.process import executor as executors
+from kingcuplever.process import job_metrics
 from kingcuplever.process import leases
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
@@ -138,7 +139,9 @@
 
     async def main() -> None:
         fake = FakeExecutor()
-        agent = worker_agent.WorkerAgent("side-1", fake, LEASE_MS)
+        agent = worker_agent.WorkerAgent(
+            "side-1", fake, LEASE_MS, job_metrics.JobMetrics()
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(agent.run)
             agent.heard_owner(1)
