--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,6 +11,7 @@
 import time
 from typing import Final
 
+from bench import decisions
 from bench import processes
 from kingcuplever.command import tables
 from kingcuplever import options
@@ -144,6 +145,7 @@
 
 def main() -> None:
     """Measure every slope."""
+    decisions.main()
     measure_idle()
     measure_jobs()
 
--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,149 @@
+"""Cost of one scheduling decision, by workers and waiting tasks.
+
+The scheduler alone, over made-up workers that all are busy: tasks end one
+after another, each end makes room, and one tick places the next task.
+"""
+
+import statistics
+import time
+from typing import Final
+from typing import NamedTuple
+
+from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import scheduler as schedulers
+from kingcuplever.process.stored import job_board
+
+# Workers and tasks: the users' present size, the aim, and twice a data
+# centre of the size to come.
+SIZES: Final = ((11, 330), (100, 3000), (225, 6750))
+_ENDS: Final = 300
+_TASKS_A_JOB: Final = 20
+_CAPACITY: Final = model.Need(128_000, 262_144, 8)
+_PERIOD_S: Final = 1.0
+
+
+class Cost(NamedTuple):
+    """Times of one size, in microseconds.
+
+    :ivar decision: median of taking in an end and placing the next task.
+    :ivar report: median of a report that brings nothing new.
+    """
+
+    workers: int
+    tasks: int
+    decision: float
+    report: float
+
+
+class _Load:
+    """A full pool with as many tasks waiting as are asked for."""
+
+    def __init__(self, workers: int, tasks: int) -> None:
+        self.now = 0.0
+        self.ends = [0] * workers
+        self.scheduler = schedulers.Scheduler(schedulers.Timing(60.0, 120.0))
+        queue = model.QueuePolicy("batch", "desk", 1, 3, 3.0, 1000)
+        self.scheduler.set_policy(model.Policy(1, {"batch": queue}, {}))
+        self.running: list[list[fleet.RunningTask]] = [
+            [] for _ in range(workers)
+        ]
+        self.names = [
+            fleet.worker_name(f"i-{n}", f"side-{n}") for n in range(workers)
+        ]
+        for number in range(workers):
+            self.report(number)
+        for number in range(tasks // _TASKS_A_JOB):
+            self._submit(f"{number:016x}", number)
+        self.settle()
+
+    def settle(self) -> None:
+        """Place, commit and carry out."""
+        self.scheduler.tick(self.now, int(self.now * 1000))
+        changes = self.scheduler.take_changes()
+        if changes is not None:
+            self.scheduler.committed(changes.number)
+        self.scheduler.take_said()
+        for number, name in enumerate(self.names):
+            worker = self.scheduler.workers[name]
+            for run in worker.starts:
+                row = fleet.RunningTask(run.task, run.run, "", 1, 0)
+                self.running[number].append(row)
+            if worker.starts:
+                self.report(number)
+
+    def report(self, number: int, *ended: fleet.EndedTask) -> None:
+        """Have one side report."""
+        listing = fleet.Listing(
+            self.names[number],
+            f"side-{number}",
+            "hall",
+            "desk",
+            _CAPACITY,
+            ("a", f"r1-{number // 8}"),
+            False,
+            0,
+            False,
+            tuple(self.running[number]),
+            ended,
+            (),
+            int(self.now * 1000) + 1,
+        )
+        self.scheduler.report(listing, self.now, int(self.now * 1000))
+
+    def end_one(self, number: int) -> fleet.EndedTask:
+        """End the oldest task of a worker."""
+        row = self.running[number].pop(0)
+        self.ends[number] += 1
+        return fleet.EndedTask(
+            self.ends[number], row.task, row.run, "done", ""
+        )
+
+    def _submit(self, name: str, order: int) -> None:
+        step = model.StepSpec(
+            _TASKS_A_JOB, 11_000, 20_000, 1, estimate_ms=600_000
+        )
+        stored = job_board.StoredJob()
+        stored.spec = model.JobSpec("batch", "desk", "a", "", (step,), 0)
+        stored.order = order
+        self.scheduler.job_changed(name, stored, self.now, 0)
+
+
+def measure(workers: int, tasks: int) -> Cost:
+    """Measure one size."""
+    load = _Load(workers, tasks)
+    decisions = []
+    reports = []
+    for turn in range(_ENDS):
+        load.now += _PERIOD_S / workers
+        number = turn % workers
+        ended = load.end_one(number)
+        began = time.perf_counter()
+        load.report(number, ended)
+        load.scheduler.tick(load.now, int(load.now * 1000))
+        decisions.append(time.perf_counter() - began)
+        load.settle()
+        began = time.perf_counter()
+        load.report((number + 1) % workers)
+        reports.append(time.perf_counter() - began)
+    return Cost(
+        workers,
+        tasks,
+        statistics.median(decisions) * 1e6,
+        statistics.median(reports) * 1e6,
+    )
+
+
+def main() -> None:
+    """Print the table."""
+    print("workers  tasks  us a decision  us a report without news")
+    for workers, tasks in SIZES:
+        cost = measure(workers, tasks)
+        print(
+            f"{cost.workers:7}  {cost.tasks:5}  {cost.decision:13.0f}"
+            f"  {cost.report:24.0f}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/kingcuplever/process/scheduling/placement.py
+++ b/kingcuplever/process/scheduling/placement.py
@@ -40,6 +40,15 @@
     )
 
 
+def may_be_slow(group: work.Group, now: float) -> bool:
+    """Tell whether a group has waited long enough for the right place.
+
+    Work that is slow in the wrong place waits as long as one run takes in
+    the right one.
+    """
+    return now - group.ready_at > group.spec.estimate_ms / 1000
+
+
 def choose(
     group: work.Group,
     workers: list[fleet.Worker],
@@ -102,7 +111,11 @@
     """Fill workers one after another, the tightest fit first."""
     spec = group.spec
     need = spec.need
-    left = {worker.name: rooms[worker.name] for worker in workers}
+    left = {
+        worker.name: rooms[worker.name]
+        for worker in workers
+        if need.fits(rooms[worker.name])
+    }
     counts = {name: taken(name) for name in left} if spec.gang else {}
     chosen: list[str] = []
     order = sorted(
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -5,6 +5,7 @@
 :meth:`Scheduler.committed` only once the log has those jobs' records.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import Final
 from typing import NamedTuple
@@ -16,6 +17,7 @@
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import placement
 from kingcuplever.process.scheduling import reclaim
+from kingcuplever.process.scheduling import waiting
 from kingcuplever.process.scheduling import work
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
@@ -81,6 +83,60 @@
     made_at: float
 
 
+class _Look:
+    """One pass over all that waits.
+
+    :ivar rooms: free room by worker, less what is being cleared.
+    :ivar urgent_gpus: accelerators that each account's urgent work has,
+        counted once urgent work waits.
+    """
+
+    def __init__(
+        self,
+        usable: list[fleet.Worker],
+        rooms: placement.Rooms,
+        now: float,
+    ) -> None:
+        self.rooms = rooms
+        self.now = now
+        self.urgent_gpus: dict[str, int] | None = None
+        self._usable = usable
+        self._able: dict[tuple[str, str], list[fleet.Worker]] = {}
+        self._failed: set[tuple[object, ...]] = set()
+
+    def able(self, group: work.Group, pool: str) -> list[fleet.Worker]:
+        """Give the workers that may run a group's tasks, room aside."""
+        key = (pool, group.spec.label)
+        if key not in self._able:
+            self._able[key] = [
+                worker
+                for worker in self._usable
+                if placement.may_run(worker, group, pool, self.now)
+            ]
+        return self._able[key]
+
+    def is_hopeless(self, group: work.Group, pool: str) -> bool:
+        """Tell whether a group that needs the same found no place."""
+        return self._shape(group, pool) in self._failed
+
+    def note_failure(self, group: work.Group, pool: str) -> None:
+        """Remember what found no place; limits on a worker are its own."""
+        if not group.spec.most_per_worker:
+            self._failed.add(self._shape(group, pool))
+
+    def _shape(self, group: work.Group, pool: str) -> tuple[object, ...]:
+        spec = group.spec
+        return (
+            pool,
+            spec.label,
+            spec.need,
+            len(group.tasks),
+            spec.same_rack,
+            spec.data_rack,
+            placement.may_be_slow(group, self.now),
+        )
+
+
 class Scheduler:
     """Decisions over one pool of jobs and workers.
 
@@ -100,7 +156,7 @@
         self._next = _AfterCommit()
         self._batches: dict[int, _AfterCommit] = {}
         self._batch_number = 0
-        self._ready: dict[work.Group, None] = {}
+        self._ready = waiting.WaitingGroups()
         self._claims: dict[work.Group, _Claim] = {}
         self._place_wanted = True
         self._scan_at = 0.0
@@ -284,7 +340,7 @@
             for group in groups:
                 if group.phase == work.WAITING and group not in self._ready:
                     group.ready_at = now
-                    self._ready[group] = None
+                    self._ready.add(group)
                     self._place_wanted = True
 
     def _queue_of(self, job: work.Job) -> model.QueuePolicy:
@@ -404,7 +460,7 @@
         occurrence = job.open[group.occurrence]
         occurrence.left[group.step] -= 1
         self._dirty[job.name] = None
-        self._ready.pop(group, None)
+        self._ready.discard(group)
         if not occurrence.left[group.step]:
             self._make_ready(job, occurrence, now)
         if occurrence.done:
@@ -442,7 +498,7 @@
         if job.ended:
             self._close_if_over(job)
         else:
-            self._ready[group] = None
+            self._ready.add(group)
 
     def _check_attempts(self, group: work.Group, wall_ms: int) -> None:
         job = group.job
@@ -473,7 +529,7 @@
 
     def _stop_all(self, job: work.Job, reason: str) -> None:
         for group in job.groups():
-            self._ready.pop(group, None)
+            self._ready.discard(group)
             if not group.vacant:
                 group.stopping = reason
                 self._stop_group(group)
@@ -600,29 +656,52 @@
         ]
         rooms = {worker.name: worker.free for worker in usable}
         self._check_claims(rooms, now)
-        urgent_gpus = self._count_urgent()
-        failed: set[tuple[str, int, int]] = set()
-        for group in sorted(self._ready, key=lambda g: self._rank(g, now)):
-            shape = (group.job.name, group.occurrence, group.step)
-            if shape in failed or now < group.not_before:
+        look = _Look(usable, rooms, now)
+        for groups in self._ready.in_order(self._rank):
+            self._place_step(groups, look)
+
+    def _place_step(
+        self, groups: Collection[work.Group], look: "_Look"
+    ) -> None:
+        """Place what can be placed of one step's groups."""
+        first = waiting.first_of(groups)
+        queue = self._queue_of(first.job)
+        urgent = queue.priority == 0
+        if urgent and look.urgent_gpus is None:
+            look.urgent_gpus = self._count_urgent()
+        if not urgent and look.is_hopeless(first, queue.pool):
+            return
+        able = look.able(first, queue.pool)
+        for group in [*groups]:
+            if look.now < group.not_before:
                 continue
-            account = group.job.spec.account
-            promised = self._policy.guaranteed_gpus.get(account, 0)
-            entitled = (
-                self._queue_of(group.job).priority == 0
-                and urgent_gpus.get(account, 0) + group.gpus <= promised
-            )
-            placed = self._place(group, usable, rooms, now)
-            urgent = self._queue_of(group.job).priority == 0
-            if not placed and urgent:
-                most = float("inf") if entitled else _URGENT_COST
-                self._reclaim(group, usable, rooms, most, now)
+            if not urgent and look.is_hopeless(group, queue.pool):
+                return
+            placed = self._place(group, able, look)
+            if urgent:
+                self._claim_if_urgent(group, able, placed, look)
             elif not placed:
-                failed.add(shape)
-            if self._queue_of(group.job).priority == 0:
-                if placed or group in self._claims:
-                    before = urgent_gpus.get(account, 0)
-                    urgent_gpus[account] = before + group.gpus
+                look.note_failure(group, queue.pool)
+                return
+
+    def _claim_if_urgent(
+        self,
+        group: work.Group,
+        able: list[fleet.Worker],
+        placed: bool,
+        look: "_Look",
+    ) -> None:
+        """Clear room for an urgent group that found none."""
+        assert look.urgent_gpus is not None
+        account = group.job.spec.account
+        used = look.urgent_gpus.get(account, 0)
+        promised = self._policy.guaranteed_gpus.get(account, 0)
+        if not placed:
+            entitled = used + group.gpus <= promised
+            most = float("inf") if entitled else _URGENT_COST
+            self._reclaim(group, able, look, most)
+        if placed or group in self._claims:
+            look.urgent_gpus[account] = used + group.gpus
 
     def _count_urgent(self) -> dict[str, int]:
         """Count the accelerators that each account's urgent work has."""
@@ -653,10 +732,9 @@
     def _reclaim(
         self,
         group: work.Group,
-        usable: list[fleet.Worker],
-        rooms: placement.Rooms,
+        able: list[fleet.Worker],
+        look: "_Look",
         most: float,
-        now: float,
     ) -> None:
         """Clear room for an urgent group.
 
@@ -664,8 +742,7 @@
         """
         if group in self._claims:
             return
-        pool = self._queue_of(group.job).pool
-        able = [w for w in usable if placement.may_run(w, group, pool, now)]
+        rooms, now = look.rooms, look.now
         guaranteed = most == float("inf")
         victims = self._find_victims(able, guaranteed)
         search = reclaim.Search(rooms, victims, now)
@@ -729,24 +806,15 @@
                     spared.add(group)
         return spared
 
-    def _rank(self, group: work.Group, now: float) -> tuple[float, ...]:
+    def _rank(self, group: work.Group) -> waiting.Rank:
         job = group.job
-        queue = self._queue_of(job)
-        return (queue.priority, job.order, group.step, group.first)
+        return (self._queue_of(job).priority, job.order, group.step)
 
     def _place(
-        self,
-        group: work.Group,
-        usable: list[fleet.Worker],
-        rooms: placement.Rooms,
-        now: float,
+        self, group: work.Group, able: list[fleet.Worker], look: "_Look"
     ) -> bool:
-        pool = self._queue_of(group.job).pool
-        able = [w for w in usable if placement.may_run(w, group, pool, now)]
-        # Work that is slow in the wrong place waits for the right one as
-        # long as one run takes there.
-        patience_s = group.spec.estimate_ms / 1000
-        allow_slow = now - group.ready_at > patience_s
+        rooms, now = look.rooms, look.now
+        allow_slow = placement.may_be_slow(group, now)
         claim = self._claims.get(group)
         if claim is not None:
             for name in claim.workers:
@@ -783,7 +851,7 @@
     def _assign(
         self, group: work.Group, places: placement.Places, now: float
     ) -> None:
-        del self._ready[group]
+        self._ready.discard(group)
         group.begin_run(places.workers)
         for index, name in enumerate(places.workers):
             run = fleet.RunId(group.tasks[index], group.run)
