--- a/kingcuplever/process/job_metrics.py
+++ b/kingcuplever/process/job_metrics.py
@@ -56,6 +56,12 @@
             buckets=(0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.025),
             registry=self.registry,
         )
+        self.lost_work = prometheus_client.Gauge(
+            "kingcuplever_lost_core_seconds",
+            "Work thrown away since this entry became owner, by cause.",
+            ["cause"],
+            registry=self.registry,
+        )
         self.append_seconds = prometheus_client.Histogram(
             "kingcuplever_append_seconds",
             "Time until the log has taken a batch of the owner's.",
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -42,6 +42,8 @@
 # The owner appends at least so often, so that others see it live.
 _RENEW_S: Final = 0.7
 _RETRY_S: Final = 0.1
+# The owner sums its state up in one line so often.
+_SUMMARY_S: Final = 10.0
 # How long orders to a side may stay unanswered.
 _ORDER_S: Final = 1.0
 
@@ -59,6 +61,7 @@
         self.producer = producer
         self.scheduler = scheduler
         self.renewal = 0
+        self.summed_up_at = trio.current_time()
         self.appended_at = trio.current_time()
         self.order_number = 0
         self.sending: set[str] = set()
@@ -264,8 +267,7 @@
                 return
             with self._metrics.decision_seconds.time():
                 reign.scheduler.tick(trio.current_time(), _wall_ms())
-            self._metrics.jobs.set(len(reign.scheduler.jobs))
-            self._metrics.workers.set(len(reign.scheduler.workers))
+            self._show(reign)
             for line in reign.scheduler.take_said():
                 logs.info(line.part, line.text)
             self._send_orders(reign, nursery)
@@ -273,6 +275,27 @@
                 await reign.news.wait()
                 reign.news = trio.Event()
 
+    def _show(self, reign: _Reign) -> None:
+        """Show the state in the metrics, and now and then in the log."""
+        scheduler = reign.scheduler
+        self._metrics.jobs.set(len(scheduler.jobs))
+        self._metrics.workers.set(len(scheduler.workers))
+        for cause, core_s in scheduler.lost_work.items():
+            self._metrics.lost_work.labels(cause).set(core_s)
+        now = trio.current_time()
+        if now - reign.summed_up_at < _SUMMARY_S:
+            return
+        reign.summed_up_at = now
+        lost = {
+            cause: round(core_s)
+            for cause, core_s in scheduler.lost_work.items()
+        }
+        text = (
+            f"Epoch {reign.epoch}: {len(scheduler.jobs)} jobs,"
+            f" {len(scheduler.workers)} workers; core-seconds lost: {lost}."
+        )
+        logs.info(logs.Part.OWNER, text)
+
     def _send_orders(self, reign: _Reign, nursery: trio.Nursery) -> None:
         for worker in reign.scheduler.workers.values():
             if not worker.orders_changed or worker.name in reign.sending:
--- /dev/null
+++ b/kingcuplever/process/scheduling/book.py
@@ -0,0 +1,97 @@
+"""What the parts of the scheduler share: jobs, workers, and what changed."""
+
+from kingcuplever import logs
+from kingcuplever.process import commands
+from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import waiting
+from kingcuplever.process.scheduling import work
+
+
+class AfterCommit:
+    """What may happen once a batch of records is on the log.
+
+    :ivar starts: groups to start, with the number of the run.
+    :ivar acks: the newest end to acknowledge, by worker.
+    """
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self.starts: list[tuple[work.Group, int]] = []
+        self.acks: dict[str, int] = {}
+
+
+class Book:
+    """The state of one pool's scheduling.
+
+    :ivar workers: by name.
+    :ivar jobs: those that are not over, by name.
+    :ivar over: time of day when a job ended, by its name, until it is
+        forgotten.
+    :ivar ready: groups that wait for a place.
+    :ivar dirty: jobs whose record must be written.
+    :ivar dropped: jobs whose records must be dropped.
+    :ivar after: what waits for the next batch.
+    :ivar place_wanted: whether something changed that could make room.
+    :ivar said: log lines that are waiting.
+    :ivar lost_work: core-seconds thrown away so far, by cause.
+    """
+
+    def __init__(self) -> None:
+        """Start without jobs and workers."""
+        self.workers: dict[str, fleet.Worker] = {}
+        self.jobs: dict[str, work.Job] = {}
+        self.over: dict[str, int] = {}
+        self.policy = model.Policy(0, {}, {})
+        self.ready = waiting.WaitingGroups()
+        self.dirty: dict[str, None] = {}
+        self.dropped: list[str] = []
+        self.after = AfterCommit()
+        self.place_wanted = True
+        self.said: list[commands.Say] = []
+        self.lost_work: dict[str, float] = {}
+
+    def queue_of(self, job: work.Job) -> model.QueuePolicy:
+        """Give the queue's policy; a removed queue keeps its jobs going."""
+        found = self.policy.queues.get(job.spec.queue)
+        if found is not None:
+            return found
+        return model.QueuePolicy(
+            job.spec.queue, job.spec.pool, 2, 3, 3.0, 1000
+        )
+
+    def note_lost_work(self, cause: str, core_s: float) -> None:
+        """Count work that was thrown away."""
+        self.lost_work[cause] = self.lost_work.get(cause, 0.0) + core_s
+
+    def group_of(self, run: fleet.RunId) -> work.Group | None:
+        task = model.parse_task(run.task)
+        job = None if task is None else self.jobs.get(task.job)
+        if job is None or task is None:
+            return None
+        group = job.find(task)
+        return group if group is not None and group.run == run.run else None
+
+    def stop(self, worker: fleet.Worker, run: fleet.RunId) -> None:
+        if run in worker.stops:
+            return
+        worker.starts.pop(run, None)
+        worker.stops.add(run)
+        worker.orders_changed = True
+
+    def stop_group(self, group: work.Group) -> None:
+        for index, holder in enumerate(group.holders):
+            if holder:
+                run = fleet.RunId(group.tasks[index], group.run)
+                self.stop(self.workers[holder], run)
+
+    def order_start(
+        self, worker: fleet.Worker, group: work.Group, run: fleet.RunId
+    ) -> None:
+        worker.starts[run] = fleet.StartOrder(
+            run.task, run.run, group.job.spec.payload, group.saved
+        )
+        worker.orders_changed = True
+
+    def say(self, part: logs.Part, text: str) -> None:
+        self.said.append(commands.Say(part, text))
--- a/kingcuplever/process/scheduling/reclaim.py
+++ b/kingcuplever/process/scheduling/reclaim.py
@@ -10,8 +10,6 @@
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import work
 
-# How many cores one accelerator weighs in the cost of lost work.
-_CORES_PER_GPU = 8
 # Work in the wrong rack takes several times as long; better stop more.
 _SLOW_COST = 1e6
 
@@ -27,19 +25,6 @@
     cost: float
 
 
-def lost_work(group: work.Group, now: float) -> float:
-    """Estimate the core-seconds that stopping a group throws away."""
-    if group.stopping or not group.begun_at:
-        return 0.0
-    ran_s = max(0.0, now - group.begun_at)
-    if group.spec.checkpointing:
-        # Only what came after the last checkpoint is lost.
-        ran_s = min(ran_s, 0.5)
-    spec = group.spec
-    cores = spec.cpu_milli / 1000 + spec.gpus * _CORES_PER_GPU
-    return ran_s * cores * len(group.tasks)
-
-
 class Search:
     """Looks for the cheapest plan over some workers."""
 
@@ -138,7 +123,9 @@
 
     def _price(self, victim: work.Group) -> float:
         """Price a victim; even one that has done nothing costs a little."""
-        return 0.0 if victim.stopping else 1.0 + lost_work(victim, self._now)
+        if victim.stopping:
+            return 0.0
+        return 1.0 + victim.lost_work(self._now) * len(victim.tasks)
 
     def _give_back(
         self, victim: work.Group, rooms: dict[str, model.Need]
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -12,6 +12,10 @@
 DONE = "d"
 
 _ALL_DONE = 100
+# How many cores one accelerator weighs where work is compared.
+CORES_PER_GPU = 8
+# Work since the last checkpoint, at most.
+_CHECKPOINT_S = 0.5
 
 
 class Group:
@@ -95,6 +99,16 @@
         """Accelerators of all its tasks."""
         return self.spec.gpus * len(self.tasks)
 
+    def lost_work(self, now: float) -> float:
+        """Estimate the core-seconds that one member loses by a stop."""
+        if not self.begun_at:
+            return 0.0
+        ran_s = max(0.0, now - self.begun_at)
+        if self.spec.checkpointing:
+            ran_s = min(ran_s, _CHECKPOINT_S)
+        cores = self.spec.cpu_milli / 1000 + self.spec.gpus * CORES_PER_GPU
+        return ran_s * cores
+
     def index_of(self, task: model.TaskId) -> int:
         """Give the number of a task within the group."""
         return task.place - self.first
