Keep a refused request's place; ask for advice; pace what fills

Each target that refused a request was avoided for good, so that none was left, and four refusals ended it; newcomers took free slots before those who waited. (2) queues with advice and tasks that fill were accepted and not served.

Ruled out: the side's count of slots (the refusals were true).

Change: a target that refused is chosen again if no other is free; a refused request keeps its number and its place; refusals are no attempts. Advice and pacing are pure parts of the scheduler with an adapter each.

--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -2598,15 +2598,17 @@
      - run
      - payload
      - saved
+     - ticket
 
     """
 
 
-    def __init__(self, task=None, run=None, payload=None, saved=None,):
+    def __init__(self, task=None, run=None, payload=None, saved=None, ticket=None,):
         self.task = task
         self.run = run
         self.payload = payload
         self.saved = saved
+        self.ticket = ticket
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2637,6 +2639,11 @@
                     self.saved = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.ticket = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2663,6 +2670,10 @@
             oprot.writeFieldBegin('saved', TType.STRING, 4)
             oprot.writeString(self.saved.encode('utf-8') if sys.version_info[0] == 2 else self.saved)
             oprot.writeFieldEnd()
+        if self.ticket is not None:
+            oprot.writeFieldBegin('ticket', TType.STRING, 5)
+            oprot.writeString(self.ticket.encode('utf-8') if sys.version_info[0] == 2 else self.ticket)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2749,6 +2760,85 @@
         return not (self == other)
 
 
+class PaceRow(object):
+    """
+    Attributes:
+     - task
+     - run
+     - percent
+
+    """
+
+
+    def __init__(self, task=None, run=None, percent=None,):
+        self.task = task
+        self.run = run
+        self.percent = percent
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.run = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PaceRow')
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 1)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run is not None:
+            oprot.writeFieldBegin('run', TType.I32, 2)
+            oprot.writeI32(self.run)
+            oprot.writeFieldEnd()
+        if self.percent is not None:
+            oprot.writeFieldBegin('percent', TType.I32, 3)
+            oprot.writeI32(self.percent)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class WorkerOrders(object):
     """
     Attributes:
@@ -2758,17 +2848,19 @@
      - starts
      - stops
      - acked
+     - paces
 
     """
 
 
-    def __init__(self, epoch=None, number=None, worker=None, starts=None, stops=None, acked=None,):
+    def __init__(self, epoch=None, number=None, worker=None, starts=None, stops=None, acked=None, paces=None,):
         self.epoch = epoch
         self.number = number
         self.worker = worker
         self.starts = starts
         self.stops = stops
         self.acked = acked
+        self.paces = paces
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2821,6 +2913,17 @@
                     self.acked = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.paces = []
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = PaceRow()
+                        _elem101.read(iprot)
+                        self.paces.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2846,21 +2949,28 @@
         if self.starts is not None:
             oprot.writeFieldBegin('starts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.starts))
-            for iter96 in self.starts:
-                iter96.write(oprot)
+            for iter102 in self.starts:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops is not None:
             oprot.writeFieldBegin('stops', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.stops))
-            for iter97 in self.stops:
-                iter97.write(oprot)
+            for iter103 in self.stops:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.acked is not None:
             oprot.writeFieldBegin('acked', TType.I64, 6)
             oprot.writeI64(self.acked)
             oprot.writeFieldEnd()
+        if self.paces is not None:
+            oprot.writeFieldBegin('paces', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.paces))
+            for iter104 in self.paces:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3547,6 +3657,7 @@
     (2, TType.I32, 'run', None, None, ),  # 2
     (3, TType.STRING, 'payload', 'UTF8', None, ),  # 3
     (4, TType.STRING, 'saved', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'ticket', 'UTF8', None, ),  # 5
 )
 all_structs.append(StopRow)
 StopRow.thrift_spec = (
@@ -3554,6 +3665,13 @@
     (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
     (2, TType.I32, 'run', None, None, ),  # 2
 )
+all_structs.append(PaceRow)
+PaceRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'run', None, None, ),  # 2
+    (3, TType.I32, 'percent', None, None, ),  # 3
+)
 all_structs.append(WorkerOrders)
 WorkerOrders.thrift_spec = (
     None,  # 0
@@ -3563,6 +3681,7 @@
     (4, TType.LIST, 'starts', (TType.STRUCT, [StartRow, None], False), None, ),  # 4
     (5, TType.LIST, 'stops', (TType.STRUCT, [StopRow, None], False), None, ),  # 5
     (6, TType.I64, 'acked', None, None, ),  # 6
+    (7, TType.LIST, 'paces', (TType.STRUCT, [PaceRow, None], False), None, ),  # 7
 )
 all_structs.append(OrdersTaken)
 OrdersTaken.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -335,6 +335,7 @@
     run: int
     payload: str
     saved: str
+    ticket: str
 
 
 class StopRow(NamedTuple):
@@ -344,6 +345,14 @@
     run: int
 
 
+class PaceRow(NamedTuple):
+    """At what share of a core a filling task may work."""
+
+    task: str
+    run: int
+    percent: int
+
+
 class WorkerOrders(NamedTuple):
     """All that the owner wants of a worker and has not seen done.
 
@@ -357,6 +366,7 @@
     starts: tuple[StartRow, ...]
     stops: tuple[StopRow, ...]
     acked: int
+    paces: tuple[PaceRow, ...]
 
 
 class OrdersTaken(NamedTuple):
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -108,14 +108,17 @@
 struct WorkerReply { 1: i64 epoch }
 
 struct StartRow {
-  1: string task, 2: i32 run, 3: string payload, 4: string saved
+  1: string task, 2: i32 run, 3: string payload, 4: string saved,
+  5: string ticket
 }
 
 struct StopRow { 1: string task, 2: i32 run }
 
+struct PaceRow { 1: string task, 2: i32 run, 3: i32 percent }
+
 struct WorkerOrders {
   1: i64 epoch, 2: i64 number, 3: string worker, 4: list<StartRow> starts,
-  5: list<StopRow> stops, 6: i64 acked
+  5: list<StopRow> stops, 6: i64 acked, 7: list<PaceRow> paces
 }
 
 struct OrdersTaken { 1: i64 number }
--- a/kingcuplever/platform/executor.py
+++ b/kingcuplever/platform/executor.py
@@ -39,6 +39,8 @@
         }
         if order.saved:
             body["Saved"] = order.saved
+        if order.ticket:
+            body["Ticket"] = order.ticket
         answer = await self._post("/run-start", life, body, _CALL_S)
         if answer.status == 200:
             return executors.StartAnswer(True, "")
@@ -58,6 +60,22 @@
         _check(answer)
         return True
 
+    async def pace(
+        self, life: str, run: fleet.RunId, percent: int, epoch: int
+    ) -> bool:
+        """Let a task work at a share; false if fenced or not there."""
+        body = {
+            "Task": run.task,
+            "Run": run.run,
+            "Percent": percent,
+            "Fence": epoch,
+        }
+        answer = await self._post("/pace", life, body, _CALL_S)
+        if answer.status == 409:
+            return False
+        _check(answer)
+        return True
+
     async def hold(
         self,
         life: str,
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -12,6 +12,7 @@
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import logs
+from kingcuplever.platform import adviser
 from kingcuplever.platform import executor
 from kingcuplever.platform import front
 from kingcuplever.platform import queues
@@ -91,6 +92,9 @@
         client = await stack.enter_async_context(
             http_client.HttpClient(host.log, leases.ALONE_S)
         )
+        advice_client = await stack.enter_async_context(
+            http_client.HttpClient(host.adviser, leases.ALONE_S)
+        )
         log = store.Store(client)
         board = job_board.JobBoard()
         follower = following.Follower(
@@ -120,6 +124,7 @@
             board,
             timing,
             metrics,
+            adviser.Adviser(advice_client),
         )
         sink = _ConfigSink(fronts, owner)
         operator = following.Follower(
--- a/kingcuplever/platform/settings.py
+++ b/kingcuplever/platform/settings.py
@@ -22,6 +22,7 @@
     :ivar registry: address where the worker registers; empty on an entry.
     :ivar worker: address of the worker beside a side, or empty.
     :ivar peers: address of our own processes' links.
+    :ivar adviser: address of the service that advises on queues, or empty.
     :ivar metrics: address of the process's own metrics.
     :ivar log: address of the platform's log.
     :ivar strength: 0 to 1, how much of a host it is beside others.
@@ -38,6 +39,7 @@
     worker: str
     peers: str
     metrics: str
+    adviser: str
     log: str
     strength: float
     lease_ms: int
@@ -80,6 +82,7 @@
         worker=read.text("app", ""),
         peers=f"{host}:{first_port}",
         metrics=f"{host}:{read.at('MetricsPort', int, _METRICS_PORT)}",
+        adviser=read.text("Advice", ""),
         log=read.text("platform.Address"),
         strength=_strength(cores, mbps),
         lease_ms=int(read.number("Bounds.HoldMaxMs")),
--- a/kingcuplever/process/executor.py
+++ b/kingcuplever/process/executor.py
@@ -76,6 +76,11 @@
     async def stop(self, life: str, run: fleet.RunId, epoch: int) -> bool:
         """Stop a run, or keep it from starting; false if fenced."""
 
+    async def pace(
+        self, life: str, run: fleet.RunId, percent: int, epoch: int
+    ) -> bool:
+        """Let a task work at a share; false if fenced or not there."""
+
     async def hold(
         self,
         life: str,
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -18,6 +18,7 @@
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever import options
+from kingcuplever.process import advisers
 from kingcuplever.process import job_metrics
 from kingcuplever.process import owner_link
 from kingcuplever.process import owner_watch
@@ -86,6 +87,7 @@
         board: job_board.JobBoard,
         timing: schedulers.Timing,
         metrics: job_metrics.JobMetrics,
+        adviser: advisers.Adviser,
     ) -> None:
         """Follow; nothing is claimed yet.
 
@@ -100,6 +102,7 @@
         self._board = board
         self._timing = timing
         self._metrics = metrics
+        self._adviser = adviser
         self._policy = model.Policy(0, {}, {})
         self._links: dict[str, peers.Peer] = {}
         self._reign: _Reign | None = None
@@ -232,6 +235,7 @@
                 nursery.start_soon(self._announce, reign)
                 nursery.start_soon(self._step_all, reign, nursery)
                 nursery.start_soon(self._append_all, reign)
+                nursery.start_soon(self._ask_all, reign)
                 await reign.lost.wait()
                 nursery.cancel_scope.cancel()
         finally:
@@ -313,6 +317,10 @@
                 tuple(messages.StartRow(*o) for o in worker.starts.values()),
                 tuple(messages.StopRow(*run) for run in sorted(worker.stops)),
                 worker.acked,
+                tuple(
+                    messages.PaceRow(run.task, run.run, percent)
+                    for run, percent in sorted(worker.paces.items())
+                ),
             )
             nursery.start_soon(self._send, reign, worker, peer, orders)
 
@@ -337,6 +345,29 @@
             reign.sending.discard(worker.name)
         reign.wake()
 
+    async def _ask_all(self, reign: _Reign) -> None:
+        """Ask the queues' policy, one question at a time."""
+        while True:
+            question = reign.scheduler.next_question()
+            if question is None:
+                await trio.sleep(_TICK_S)
+                continue
+            answer = None
+            try:
+                answer = await self._adviser.ask(question)
+            except errors.PlatformFailed as error:
+                text = f"No advice on {question.step}: {error.detail}"
+                logs.warn(logs.Part.PLACE, text)
+                await trio.sleep(_RETRY_S)
+            else:
+                text = (
+                    f"{len(answer.tickets)} of {len(question.workers)} workers"
+                    f" may run {question.step} for {answer.valid_s:.1f} s."
+                )
+                logs.info(logs.Part.PLACE, text)
+            reign.scheduler.advised(question, answer, trio.current_time())
+            reign.wake()
+
     async def _append_all(self, reign: _Reign) -> None:
         """Append what must last, one batch at a time."""
         while True:
--- a/kingcuplever/process/router.py
+++ b/kingcuplever/process/router.py
@@ -50,8 +50,9 @@
 class Ticket(NamedTuple):
     """A request that wants a target.
 
-    :ivar number: grows with each ticket.
     :ivar deadline: monotonic time after which it must not start.
+    :ivar number: grows with each request; one that a target refused keeps
+        its number, and with it its place in the queue.
     :ivar avoid: targets that refused it already.
     """
 
@@ -169,9 +170,10 @@
 
     def acquire(self, ticket: Ticket, now: float) -> Verdict | None:
         """Give a ticket a target, a refusal, or a place in the queue."""
-        chosen = self._choose(ticket, now)
-        if chosen is not None:
-            return self._assign(ticket, chosen, "free slot")
+        if not self._is_behind(ticket):
+            chosen = self._choose(ticket, now)
+            if chosen is not None:
+                return self._assign(ticket, chosen, "free slot")
         return self._enqueue(ticket, now)
 
     def release(
@@ -284,14 +286,33 @@
         for names in self._by_service.values():
             names.pop(name, None)
 
+    def _is_behind(self, ticket: Ticket) -> bool:
+        """Tell whether others that came earlier wait for the same."""
+        queues = self._queues.get(ticket.service)
+        if queues is None:
+            return False
+        if ticket.priority != "urgent" and queues["urgent"]:
+            return True
+        queue = queues[ticket.priority]
+        return bool(queue) and queue[0].ticket.number < ticket.number
+
     def _choose(self, ticket: Ticket, now: float) -> TargetId | None:
+        """Choose a target; one that refused the ticket only if need be."""
+        fresh = self._choose_among(ticket, ticket.avoid, now)
+        if fresh is not None or not ticket.avoid:
+            return fresh
+        return self._choose_among(ticket, frozenset(), now)
+
+    def _choose_among(
+        self, ticket: Ticket, avoid: frozenset[TargetId], now: float
+    ) -> TargetId | None:
         best: tuple[float, TargetId] | None = None
         connections = self._service(ticket.service).connections
         for name in self._by_service.get(ticket.service, ()):
             target = self._targets[name]
             if not target.usable or target.free <= 0:
                 continue
-            if target.own >= connections or name in ticket.avoid:
+            if target.own >= connections or name in avoid:
                 continue
             if not self._let_in(target, now):
                 continue
@@ -343,7 +364,11 @@
         if waiting >= service.queue and not self._make_room(ticket, queues):
             self.shed += 1
             return Refusal(ticket, "the queue is full", max(wait_s, 0.1))
-        queues[ticket.priority].append(_Waiting(ticket, now))
+        queue = queues[ticket.priority]
+        place = len(queue)
+        while place and queue[place - 1].ticket.number > ticket.number:
+            place -= 1
+        queue.insert(place, _Waiting(ticket, now))
         return None
 
     def _make_room(
--- a/kingcuplever/process/router_task.py
+++ b/kingcuplever/process/router_task.py
@@ -85,10 +85,14 @@
         priority: routers.Priority,
         deadline: float,
         avoid: frozenset[routers.TargetId],
+        number: int = 0,
     ) -> routers.Verdict:
-        """Wait for a target, or for a refusal."""
+        """Wait for a target, or for a refusal.
+
+        :param number: of the request's earlier ticket, to keep its place.
+        """
         ticket = routers.Ticket(
-            self._router.next_number(),
+            number or self._router.next_number(),
             service,
             priority,
             deadline,
--- a/kingcuplever/process/scheduling/book.py
+++ b/kingcuplever/process/scheduling/book.py
@@ -2,6 +2,7 @@
 
 from kingcuplever import logs
 from kingcuplever.process import commands
+from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import waiting
@@ -33,6 +34,7 @@
     :ivar dropped: jobs whose records must be dropped.
     :ivar after: what waits for the next batch.
     :ivar place_wanted: whether something changed that could make room.
+    :ivar advice: which workers may run which step, where that is asked.
     :ivar said: log lines that are waiting.
     :ivar lost_work: core-seconds thrown away so far, by cause.
     """
@@ -48,6 +50,7 @@
         self.dropped: list[str] = []
         self.after = AfterCommit()
         self.place_wanted = True
+        self.advice = advice.AdviceBook()
         self.said: list[commands.Say] = []
         self.lost_work: dict[str, float] = {}
 
@@ -89,7 +92,11 @@
         self, worker: fleet.Worker, group: work.Group, run: fleet.RunId
     ) -> None:
         worker.starts[run] = fleet.StartOrder(
-            run.task, run.run, group.job.spec.payload, group.saved
+            run.task,
+            run.run,
+            group.job.spec.payload,
+            group.saved,
+            group.tickets.get(worker.name, ""),
         )
         worker.orders_changed = True
 
--- a/kingcuplever/process/scheduling/fleet.py
+++ b/kingcuplever/process/scheduling/fleet.py
@@ -21,12 +21,14 @@
     """Asks a worker to start a task.
 
     :ivar saved: checkpoint to go on from, or empty.
+    :ivar ticket: leave of the queue's policy, or empty.
     """
 
     task: str
     run: int
     payload: str
     saved: str
+    ticket: str = ""
 
 
 class RunningTask(NamedTuple):
@@ -99,6 +101,11 @@
     return f"{life}@{side}"
 
 
+def life_of(worker: str) -> str:
+    """Give the life's name out of a worker's."""
+    return worker.partition("@")[0]
+
+
 def side_of(worker: str) -> str:
     """Give the side's name out of a worker's."""
     return worker.partition("@")[2]
@@ -116,6 +123,9 @@
     :ivar held: room that each started task holds, until its end is heard.
     :ivar starts: orders that the worker's side has not confirmed.
     :ivar stops: runs that must end there.
+    :ivar paces: share of a core at which filling tasks may work, where it
+        is not the whole.
+    :ivar pace: that share for all of them, in percent.
     :ivar acked: ends up to this number are kept on the log.
     :ivar known: whether its capacity has been heard.
     :ivar linked: whether its side is linked now.
@@ -141,6 +151,9 @@
         self.held: dict[RunId, model.Need] = {}
         self.starts: dict[RunId, StartOrder] = {}
         self.stops: set[RunId] = set()
+        self.paces: dict[RunId, int] = {}
+        self.pace = 100
+        self.paced_at = float("-inf")
         self.acked = 0
         self.orders_changed = False
         self.away_until = 0.0
@@ -176,6 +189,7 @@
 
     def release(self, run: RunId) -> None:
         """Give room back: the task surely does not run here any more."""
+        self.paces.pop(run, None)
         need = self.held.pop(run, None)
         if need is not None:
             self.free = self.free.plus(need)
--- a/kingcuplever/process/scheduling/jobs.py
+++ b/kingcuplever/process/scheduling/jobs.py
@@ -200,6 +200,7 @@
         """Keep an ended job only while tasks of it hold room."""
         if job.ended and job.vacant:
             self._book.over[job.name] = job.ended_ms
+            self._book.advice.forget(job.name)
 
     def forget_ended(
         self, keep_ms: float, settled: bool, wall_ms: int
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -114,6 +114,8 @@
         if not urgent and look.is_hopeless(first, queue.pool):
             return
         able = look.able(first, queue.pool)
+        if queue.needs_advice:
+            able = self._find_advised(first, able, look)
         for group in [*groups]:
             if look.now < group.not_before:
                 continue
@@ -123,9 +125,30 @@
             if urgent:
                 self._claim_if_urgent(group, able, placed, look)
             elif not placed:
-                look.note_failure(group, queue.pool)
+                if not queue.needs_advice:
+                    look.note_failure(group, queue.pool)
                 return
 
+    def _find_advised(
+        self,
+        group: work.Group,
+        able: list[fleet.Worker],
+        look: "_Look",
+    ) -> list[fleet.Worker]:
+        """Give the workers with leave for a step; have others asked for."""
+        book = self._book.advice
+        step = group.step_name
+        advised = [
+            worker
+            for worker in able
+            if book.ticket(step, worker.name, look.now)
+        ]
+        free = sorted(
+            able, key=lambda worker: look.rooms[worker.name], reverse=True
+        )
+        book.want(step, [worker.name for worker in free], look.now)
+        return advised
+
     def _claim_if_urgent(
         self,
         group: work.Group,
@@ -295,6 +318,10 @@
     ) -> None:
         self._book.ready.discard(group)
         group.begin_run(places.workers)
+        group.tickets = {
+            name: self._book.advice.ticket(group.step_name, name, now)
+            for name in set(places.workers)
+        }
         for index, name in enumerate(places.workers):
             run = fleet.RunId(group.tasks[index], group.run)
             self._book.workers[name].hold(run, group.spec.need)
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 
 from kingcuplever.connection import keyed_log
 from kingcuplever.process import commands
+from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import book as books
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import jobs as job_keepers
@@ -81,6 +82,20 @@
         """Take in what a side reports about its worker."""
         self._workers.report(listing, now, wall_ms)
 
+    def next_question(self) -> advice.Question | None:
+        """Give what to ask the queues' policy now, if anything."""
+        return self._book.advice.next_question()
+
+    def advised(
+        self,
+        question: advice.Question,
+        answer: advice.Answer | None,
+        now: float,
+    ) -> None:
+        """Take in the answer to a question; none if there was no whole one."""
+        self._book.advice.answered(question, answer, now)
+        self._book.place_wanted = True
+
     def side_lost(self, side: str) -> None:
         """A side's link has ended; its worker may well go on."""
         self._workers.side_lost(side)
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -32,6 +32,8 @@
     :ivar ready_at: steady time since when it waits for a place.
     :ivar not_before: steady time before which it is not placed again.
     :ivar avoid: workers on which it failed.
+    :ivar tickets: leave of the queue's policy for the present run, by
+        worker, where that is needed.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         "ready_at",
         "not_before",
         "avoid",
+        "tickets",
     )
 
     def __init__(
@@ -83,6 +86,7 @@
         self.ready_at = 0.0
         self.not_before = 0.0
         self.avoid: set[str] = set()
+        self.tickets: dict[str, str] = {}
 
     @property
     def vacant(self) -> bool:
@@ -94,6 +98,11 @@
         """Progress of the member that is furthest behind."""
         return min(self.percents)
 
+    @property
+    def step_name(self) -> str:
+        """The name of its step, with the job's and the occurrence's."""
+        return f"{self.job.name}.{self.occurrence}.{self.step}"
+
     @property
     def gpus(self) -> int:
         """Accelerators of all its tasks."""
--- a/kingcuplever/process/scheduling/workers.py
+++ b/kingcuplever/process/scheduling/workers.py
@@ -8,6 +8,7 @@
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import jobs as job_keepers
 from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import pacing
 from kingcuplever.process.scheduling import work
 
 # Reports older than this make a worker no place for new work; two periods
@@ -55,6 +56,7 @@
             self._book.place_wanted = True
         worker.describe(listing, now)
         self._take_running(worker, listing.running, now)
+        self._pace(worker, listing.running, now)
         # An end says more than a refusal of the same run.
         for ended in listing.ended:
             self._take_ended(worker, ended, now, wall_ms)
@@ -88,6 +90,27 @@
             group.note_progress(index, row.percent, worker.clock_ms)
             self._note_running(group, row, now)
 
+    def _pace(
+        self,
+        worker: fleet.Worker,
+        running: Iterable[fleet.RunningTask],
+        now: float,
+    ) -> None:
+        """Slow what fills the worker while its serving tasks are slow."""
+        fillers = []
+        serving = []
+        for row in running:
+            run = fleet.RunId(row.task, row.run)
+            group = self._book.group_of(run)
+            if group is None:
+                continue
+            if group.spec.fills:
+                fillers.append(run)
+            elif group.spec.target_ms:
+                target_ms = group.spec.target_ms
+                serving.append(pacing.Serving(row.usage, target_ms))
+        pacing.repace(worker, fillers, serving, now)
+
     def _note_running(
         self, group: work.Group, row: fleet.RunningTask, now: float
     ) -> None:
@@ -113,7 +136,10 @@
         group = self._book.group_of(run)
         worker.release(run)
         if group is not None:
-            group.avoid.add(worker.name)
+            if refused.reason == "ticket":
+                self._book.advice.spoiled(group.step_name, worker.name)
+            else:
+                group.avoid.add(worker.name)
             self._jobs.vacate(group, run, worker, refused.reason, now)
         self._book.place_wanted = True
 
--- a/kingcuplever/process/worker_agent.py
+++ b/kingcuplever/process/worker_agent.py
@@ -112,6 +112,7 @@
         self._stops: set[fleet.RunId] = set()
         self._busy: dict[fleet.RunId, trio.CancelScope] = {}
         self._refused: dict[fleet.RunId, str] = {}
+        self._paces: dict[fleet.RunId, int] = {}
         self._acked = 0
         self._heard_owner_at = float("-inf")
         self._limit = trio.CapacityLimiter(_CALLS)
@@ -183,6 +184,12 @@
         }
         stops = {fleet.RunId(*row) for row in orders.stops}
         self._use_orders(starts, stops)
+        self._use_paces(
+            {
+                fleet.RunId(row.task, row.run): row.percent
+                for row in orders.paces
+            }
+        )
         return True
 
     def reports(self) -> list[messages.WorkerReport]:
@@ -259,6 +266,18 @@
         for run in new_stops:
             self._nursery.start_soon(self._stop, run)
 
+    def _use_paces(self, paces: dict[fleet.RunId, int]) -> None:
+        """Pace what is to work at another share than it does now."""
+        assert self._nursery is not None
+        changed = {
+            run: percent
+            for run, percent in paces.items()
+            if self._paces.get(run) != percent
+        }
+        self._paces = paces
+        for run, percent in changed.items():
+            self._nursery.start_soon(self._pace, run, percent)
+
     def _lists(self, run: fleet.RunId) -> bool:
         """Tell whether the worker's newest list has a run."""
         if self._view is None:
@@ -346,6 +365,7 @@
         self._starts = {}
         self._stops = set()
         self._refused = {}
+        self._paces = {}
         self._view = None
         self._acked = 0
         self._orders_number = 0
@@ -446,6 +466,26 @@
                 return
             await trio.sleep(_RETRY_S)
 
+    async def _pace(self, run: fleet.RunId, percent: int) -> None:
+        """Pace a task, until that is answered or no longer wanted."""
+        present = self._lives.present
+        while present is not None and self._paces.get(run) == percent:
+            try:
+                life = present.life
+                done = await self._worker.pace(life, run, percent, self._epoch)
+            except errors.ExecutorChanged:
+                return
+            except errors.PlatformFailed as error:
+                text = f"Pace of {run.task} run {run.run}: {error.detail}"
+                logs.warn(logs.Part.TASK, text)
+                await trio.sleep(_RETRY_S)
+                continue
+            outcome = "accepted" if done else "refused"
+            self._orders_done.labels("pace", outcome).inc()
+            text = f"{run.task} run {run.run} at {percent} percent: {outcome}."
+            logs.info(logs.Part.TASK, text)
+            return
+
     async def _stop_until_answered(self, life: str, run: fleet.RunId) -> bool:
         """Order a stop; false if that no longer matters."""
         while True:
--- a/kingcuplever/request/caller.py
+++ b/kingcuplever/request/caller.py
@@ -25,6 +25,9 @@
 # The side's own bound ends first, so that its answer can still come.
 _SIDE_MARGIN_S: Final = 0.25
 _ATTEMPTS_MOST: Final = 4
+# Bounds the turns of a request that full targets refuse; each takes at least
+# one exchange with a side.
+_ROUNDS_MOST: Final = 100
 _SERVER_ERROR: Final = 500
 
 
@@ -147,6 +150,7 @@
         self._since_ms = time.time_ns() // 1_000_000
         self._deadline = trio.current_time() + spec.timeout_ms / 1000
         self._avoid: set[routers.TargetId] = set()
+        self._number = 0
         self._fenced_at = ""
         self._at_most_once = bool(spec.key) and not spec.idempotent
 
@@ -154,7 +158,10 @@
         """Make attempts until there is an answer, or none may follow."""
         error: errors.KingcupleverError | None = None
         refused = False
-        for attempt in range(_ATTEMPTS_MOST):
+        sent = 0
+        for attempt in range(_ROUNDS_MOST):
+            if sent >= _ATTEMPTS_MOST:
+                break
             if attempt and not self._may_retry(refused):
                 break
             verdict = await self._acquire()
@@ -166,6 +173,8 @@
                 return reply
             error = _error_of(reply)
             refused = reply.verdict == messages.NOT_RUN
+            # A full target costs a request its turn, and nothing else.
+            sent += 0 if refused else 1
             if not self._repeatable(reply):
                 break
         assert error is not None
@@ -191,12 +200,15 @@
 
     async def _acquire(self) -> routers.Verdict:
         """Wait for a target, or for a refusal."""
-        return await self._router.acquire(
+        verdict = await self._router.acquire(
             self._spec.service,
             self._spec.priority,
             self._deadline,
             frozenset(self._avoid),
+            self._number,
         )
+        self._number = verdict.ticket.number
+        return verdict
 
     def _refused(self, refusal: routers.Refusal) -> Overloaded:
         logs.info(logs.Part.ROUTE, f"{self._id}: refused, {refusal.reason}.")
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from kingcuplever.connection import keyed_log
+from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import scheduler as schedulers
@@ -14,6 +15,7 @@
 FULL = model.Need(128_000, 262_144, 8)
 URGENT = model.QueuePolicy("urgent", "desk", 0, 2, 1.5, 250)
 NORMAL = model.QueuePolicy("normal", "desk", 1, 3, 3.0, 1000)
+ADVISED = model.QueuePolicy("advised", "desk", 1, 3, 3.0, 1000, True)
 BATCH = model.QueuePolicy("batch", "desk", 2, 3, 3.0, 3000)
 
 
@@ -225,6 +227,21 @@
             self.now += 0.05
         self.commit()
 
+    def answer_questions(self, allowed: set[str], valid_s: float) -> int:
+        """Answer what the queues' policy is asked; give how often."""
+        count = 0
+        while (question := self.scheduler.next_question()) is not None:
+            count += 1
+            tickets = {
+                name: f"ticket of {name}"
+                for name in question.workers
+                if name in allowed
+            }
+            answer = advice.Answer(tickets, valid_s)
+            self.scheduler.advised(question, answer, self.now)
+            self.settle()
+        return count
+
     def pass_time(self, seconds: float) -> None:
         """Let time go by."""
         until = self.now + seconds
@@ -257,7 +274,7 @@
 
     def _new_owner(self) -> schedulers.Scheduler:
         scheduler = schedulers.Scheduler(self.timing)
-        queues = {q.name: q for q in (URGENT, NORMAL, BATCH)}
+        queues = {q.name: q for q in (URGENT, NORMAL, BATCH, ADVISED)}
         scheduler.set_policy(model.Policy(1, queues, self.guaranteed))
         scheduler.load(self.board, self.now, self.wall_ms)
         return scheduler
--- a/tests/test_request_decisions.py
+++ b/tests/test_request_decisions.py
@@ -211,3 +211,37 @@
     mine.read_back("r1")
     assert mine.owns(3.9)
     assert not mine.owns(4.1)
+
+
+def test_request_that_full_targets_refused_is_not_left_out() -> None:
+    # Every target had refused it once, so none was left for it: a key of a
+    # load of 200 was refused for 20 s while others were served.
+    router = make_router(Side("a", slots=1), Side("b", slots=1))
+    refused = frozenset(
+        (routers.TargetId("a", "t"), routers.TargetId("b", "t"))
+    )
+    verdict = router.acquire(ticket(1)._replace(avoid=refused), 0.0)
+    assert assigned(verdict).target in refused
+
+
+def test_refused_request_keeps_its_place_in_the_queue() -> None:
+    router = make_router(Side("a", slots=1))
+    first = assigned(router.acquire(ticket(1), 0.0))
+    assert router.acquire(ticket(2), 0.0) is None
+    assert router.acquire(ticket(3), 0.0) is None
+    # The side was full after all; the request waits again, in front.
+    router.full(first, 0.1)
+    assert router.acquire(ticket(1), 0.1) is None
+    verdicts = router.heard(Side("a", slots=1).heartbeat(), 0.2)
+    assert [assigned(v).ticket.number for v in verdicts] == [1]
+
+
+def test_newcomer_does_not_overtake_who_waits() -> None:
+    router = make_router(Side("a", slots=1))
+    first = assigned(router.acquire(ticket(1), 0.0))
+    assert router.acquire(ticket(2), 0.0) is None
+    router.full(first, 0.1)
+    router.heard(Side("a", slots=1, busy=1).heartbeat(), 0.2)
+    assert router.acquire(ticket(3), 0.3) is None
+    verdicts = router.heard(Side("a", slots=1).heartbeat(), 0.4)
+    assert [assigned(v).ticket.number for v in verdicts] == [2]
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -71,6 +71,14 @@
             )
         return True
 
+    async def pace(
+        self, life: str, run: fleet.RunId, percent: int, epoch: int
+    ) -> bool:
+        """Take note of a pace."""
+        self._check(life)
+        self.calls.append(f"pace {run.run} {percent}")
+        return run in self.running
+
     async def hold(
         self,
         life: str,
@@ -119,15 +127,19 @@
     epoch: int = 1,
     life: str = "i-1",
     acked: int = 0,
+    paces: tuple[messages.PaceRow, ...] = (),
 ) -> messages.WorkerOrders:
     """Make the owner's orders about runs of one task."""
     return messages.WorkerOrders(
         epoch,
         number,
         fleet.worker_name(life, "side-1"),
-        tuple(messages.StartRow(TASK, run, "payload", "") for run in starts),
+        tuple(
+            messages.StartRow(TASK, run, "payload", "", "") for run in starts
+        ),
         tuple(messages.StopRow(TASK, run) for run in stops),
         acked,
+        paces,
     )
 
 
@@ -337,6 +349,27 @@
     play(scenario, clock)
 
 
+def test_pace_is_set_once_for_each_change(
+    clock: trio.testing.MockClock,
+) -> None:
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        agent.take_orders(orders(1, 1))
+        await trio.sleep(1.5)
+        slow = messages.PaceRow(TASK, 1, 50)
+        agent.take_orders(orders(2, paces=(slow,)))
+        await trio.sleep(0.5)
+        agent.take_orders(orders(3, paces=(slow,)))
+        await trio.sleep(0.5)
+        full = messages.PaceRow(TASK, 1, 100)
+        agent.take_orders(orders(4, paces=(full,)))
+        await trio.sleep(0.5)
+        assert fake.calls == ["start 1", "pace 1 50", "pace 1 100"]
+
+    play(scenario, clock)
+
+
 def test_another_life_ends_the_one_before(
     clock: trio.testing.MockClock,
 ) -> None:
