Check what comes from outside on the platform, field by field

Cause: fuzzing found settings with an empty range of ports that ended the start with an IndexError, prefixes of other types that broke each look-up of a route, and records with mistyped fields that a follower would have compared.

--- a/kingcuplever/platform/queues.py
+++ b/kingcuplever/platform/queues.py
@@ -34,19 +34,19 @@
     queues = {}
     for row in document.get("Routes") or ():
         # A route of the pages is a queue with the address of its callers.
-        name = row["Name"]
+        name = _text(row, "Name")
         routes.append(
             job_queues.Route(
                 name,
-                row["Host"].lower(),
-                row["PathPrefix"],
+                _text(row, "Host").lower(),
+                _text(row, "PathPrefix"),
                 bool(row.get("Public")),
                 int(row.get("TimeoutMs", 0)),
             )
         )
         queues[name] = model.QueuePolicy(
             name,
-            row["Service"],
+            _text(row, "Service"),
             int(row.get("Priority", 0)),
             int(row.get("MaxAttempts", 1)),
             float(row.get("Stretch", 1.0)),
@@ -56,10 +56,11 @@
     accounts = {}
     guaranteed = {}
     for tenant in document.get("Tenants") or ():
+        account = _text(tenant, "Name")
         for key in tenant.get("ApiKeys") or ():
-            accounts[key] = tenant["Name"]
+            accounts[str(key)] = account
         promised = tenant.get("Guaranteed") or {}
-        guaranteed[tenant["Name"]] = int(promised.get("Gpu", 0))
+        guaranteed[account] = int(promised.get("Gpu", 0))
     limits = document.get("Limits") or {}
     version = int(document["Version"])
     return job_queues.JobQueues(
@@ -71,6 +72,14 @@
     )
 
 
+def _text(row: dict[str, Any], name: str) -> str:
+    """Give a field that must be a text."""
+    value = row[name]
+    if not isinstance(value, str):
+        raise TypeError(f"{name} is {value!r:.40}")
+    return value
+
+
 def decode_job(
     document: Any,
     queue: model.QueuePolicy,
--- a/kingcuplever/platform/settings.py
+++ b/kingcuplever/platform/settings.py
@@ -70,7 +70,7 @@
     """
     read = _Reader(document, path)
     host = read.text("Ip")
-    first_port = read.at("PortRange", list)[0]
+    first_port = read.first_port("PortRange")
     cores = read.number("Limits.CpuShare") * read.number("Limits.Cores")
     mbps = read.number("Limits.LinkMbps")
     return HostSettings(
@@ -123,6 +123,15 @@
             )
         return value
 
+    def first_port(self, key: str) -> int:
+        """Give the first port of a range."""
+        ports = self.at(key, list)
+        if not ports or type(ports[0]) is not int:
+            raise errors.SettingsError(
+                f"{self._path}: {key} is {ports!r:.40}; set two port numbers."
+            )
+        return int(ports[0])
+
     def text(self, key: str, default: str | None = None) -> str:
         """Give a text."""
         return str(self.at(key, str, default))
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -157,17 +157,37 @@
         return Cancelled(key[2:])
     if key.startswith(_PROGRESS):
         state, finished, groups, ended_ms = document
-        rows = tuple(
-            GroupProgress(*row[:7], tuple(row[7]))  # type: ignore[call-arg]
-            for row in groups
-        )
-        return Progress(key[2:], state, tuple(finished), rows, ended_ms)
+        rows = tuple(_read_group(row) for row in groups)
+        done = _checked(finished, (int,) * len(finished))
+        state, ended_ms = _checked([state, ended_ms], (str, int))
+        return Progress(key[2:], state, tuple(done), rows, ended_ms)
     if key == OWNER_KEY:
-        return Owner(*document)
+        return Owner(*_checked(document, (int, str, str, int)))
     fault = plain.Fault("key", repr(key), "a key of the product")
     raise plain.FaultyValue([fault])
 
 
+def _read_group(row: list[Any]) -> GroupProgress:
+    """Read one group's row."""
+    occurrence, step, first, run, phase, failures, saved = _checked(
+        row[:7], (int, int, int, int, str, int, str)
+    )
+    workers = _checked(row[7], (str,) * len(row[7]))
+    return GroupProgress(
+        occurrence, step, first, run, phase, failures, saved, tuple(workers)
+    )
+
+
+def _checked(values: list[Any], types: tuple[type, ...]) -> list[Any]:
+    """Give values whose types are as they should be.
+
+    :raises TypeError: if they are not.
+    """
+    if tuple(map(type, values)) != types:
+        raise TypeError(f"{values!r:.60} in a record")
+    return values
+
+
 def _record(key: str, value: Any) -> keyed_log.KeyedRecord:
     data = json.dumps(value, separators=(",", ":")).encode()
     return keyed_log.KeyedRecord(key, data)
