Judge a draining worker's tasks by their pace, and its time as it runs down

Cause: evacuation went by the submitter's guess (far off on both sites), and each report repeated the time left of the last registration, so that a worker seemed to have as much time as ever until it left with its tasks.

Change: once a tenth is done, the rest is judged by the pace so far; the side counts the time down.

--- a/kingcuplever/platform/executor.py
+++ b/kingcuplever/platform/executor.py
@@ -113,9 +113,12 @@
         return answer
 
 
-def decode_registration(life: str, document: Any) -> executors.Registration:
+def decode_registration(
+    life: str, document: Any, now: float
+) -> executors.Registration:
     """Read what an executor says about itself.
 
+    :param now: steady time when it came.
     :raises errors.InvalidRequest: if a field is missing or mistyped, or
         its state is unknown.
     """
@@ -142,6 +145,7 @@
         labels=tuple(labels),
         draining=state == "draining",
         remaining_ms=_field(document, "RemainingMs", int, 0),
+        heard_at=now,
     )
 
 
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -260,7 +260,8 @@
             )
         if request.method == "PUT":
             document = http_server.parse_json(request.body)
-            agent.registered(executor.decode_registration(life, document))
+            now = trio.current_time()
+            agent.registered(executor.decode_registration(life, document, now))
         elif request.method == "DELETE":
             agent.left(life)
         else:
--- a/kingcuplever/process/executor.py
+++ b/kingcuplever/process/executor.py
@@ -16,7 +16,9 @@
 
     :ivar life: name of its present life.
     :ivar sequence: grows with each registration of this life.
-    :ivar remaining_ms: least time until a draining worker leaves.
+    :ivar remaining_ms: least time until a draining worker leaves, counted
+        from when it said so.
+    :ivar heard_at: steady time when it said so.
     """
 
     life: str
@@ -27,6 +29,11 @@
     labels: tuple[str, ...]
     draining: bool
     remaining_ms: int
+    heard_at: float
+
+    def left_ms(self, now: float) -> int:
+        """Give what is left of the time until it leaves."""
+        return max(0, self.remaining_ms - int((now - self.heard_at) * 1000))
 
 
 class View(NamedTuple):
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -12,6 +12,8 @@
 DONE = "d"
 
 _ALL_DONE = 100
+# Progress, in percent, from which on its pace tells of the rest.
+_TELLING = 10
 # How many cores one accelerator weighs where work is compared.
 CORES_PER_GPU = 8
 # Work since the last checkpoint, at most.
@@ -108,6 +110,18 @@
         """Accelerators of all its tasks."""
         return self.spec.gpus * len(self.tasks)
 
+    def left_s(self, now: float) -> float:
+        """Estimate how long it still needs to run.
+
+        What it has done since its start says more than the submitter's
+        guess, which is far off.
+        """
+        done = self.percent
+        ran_s = now - self.begun_at
+        if self.begun_at and done >= _TELLING and not self.saved:
+            return ran_s * (_ALL_DONE - done) / done
+        return self.spec.estimate_ms / 1000 * (1 - done / _ALL_DONE)
+
     def lost_work(self, now: float) -> float:
         """Estimate the core-seconds that one member loses by a stop."""
         if not self.begun_at:
--- a/kingcuplever/process/scheduling/workers.py
+++ b/kingcuplever/process/scheduling/workers.py
@@ -262,9 +262,7 @@
                 continue
             if group.phase != work.ASSIGNED:
                 continue
-            whole_s = group.spec.estimate_ms / 1000
-            needed_s = whole_s * (1 - group.percent / 100)
-            if group.spec.long_running or needed_s > left_s:
+            if group.spec.long_running or group.left_s(now) > left_s:
                 group.stopping = "evacuated"
                 text = f"{run.task} leaves {worker.name}, which drains."
                 self._book.say(logs.Part.TASK, text)
--- a/kingcuplever/process/worker_agent.py
+++ b/kingcuplever/process/worker_agent.py
@@ -145,7 +145,7 @@
             *life.capacity,
             life.labels,
             life.draining,
-            life.remaining_ms,
+            life.left_ms(trio.current_time()),
             gone,
             tuple(messages.RunningRow(*row) for row in running),
             tuple(messages.EndedRow(*row) for row in ended),
--- a/tests/test_job_scheduling.py
+++ b/tests/test_job_scheduling.py
@@ -186,6 +186,37 @@
     assert len(pool.running("j1")) == 8
 
 
+def test_task_that_ends_in_time_stays_on_a_draining_worker(
+    pool: pools.Pool,
+) -> None:
+    # Guessed at two minutes, it is at 90 percent after 9 s; four are left.
+    pool.submit("j1", pools.spec(pools.step(estimate_ms=120_000)))
+    pool.settle()
+    ((run, worker),) = pool.running("j1").items()
+    pool.pass_time(9.0)
+    _set_percent(pool, run, 90)
+    worker.draining = True
+    pool.pass_time(0.5)
+    assert set(pool.running("j1")) == {run}
+
+
+def test_task_that_can_not_end_in_time_leaves_a_draining_worker(
+    pool: pools.Pool,
+) -> None:
+    # Guessed at one second, it is at 20 percent after 9 s.
+    pool.submit("j1", pools.spec(pools.step(estimate_ms=1000)))
+    pool.settle()
+    ((run, worker),) = pool.running("j1").items()
+    worker.stalled.add(run)
+    for percent in (5, 10, 15, 20):
+        pool.pass_time(1.2)
+        _set_percent(pool, run, percent)
+    worker.draining = True
+    pool.pass_time(1.0)
+    assert not worker.running
+    assert pool.running("j1")
+
+
 def test_worker_is_never_given_more_than_it_has(pool: pools.Pool) -> None:
     pool.submit("j1", pools.spec(pools.step(tasks=30, cpu_milli=52_000)))
     pool.settle()
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -152,7 +152,7 @@
 ) -> None:
     document = damaged(REGISTRATION, path, value)
     try:
-        read = executor.decode_registration("i-1", document)
+        read = executor.decode_registration("i-1", document, 0.0)
     except errors.InvalidRequest:
         return
     assert isinstance(read.sequence, int)
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -111,12 +111,24 @@
 
 
 def registration(
-    life: str = "i-1", sequence: int = 1, draining: bool = False
+    life: str = "i-1",
+    sequence: int = 1,
+    draining: bool = False,
+    remaining_ms: int = 0,
+    heard_at: float = 0.0,
 ) -> executors.Registration:
     """Make what a worker says of itself."""
     need = model.Need(128_000, 262_144, 8)
     return executors.Registration(
-        life, sequence, "desk", "hall", need, ("a", "r1-1"), draining, 0
+        life,
+        sequence,
+        "desk",
+        "hall",
+        need,
+        ("a", "r1-1"),
+        draining,
+        remaining_ms,
+        heard_at,
     )
 
 
@@ -370,6 +382,27 @@
     play(scenario, clock)
 
 
+def test_time_until_a_worker_leaves_runs_down(
+    clock: trio.testing.MockClock,
+) -> None:
+    # Reports repeated what the last registration had said, so that a worker
+    # seemed to have as much time left with each of them.
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        now = trio.current_time()
+        leaving = registration("i-1", 2, True, 4000, now)
+        agent.registered(leaving)
+        await trio.sleep(3.0)
+        (report,) = agent.reports()
+        assert 900 <= report.remaining_ms <= 1000
+        await trio.sleep(3.0)
+        (report,) = agent.reports()
+        assert report.remaining_ms == 0
+
+    play(scenario, clock)
+
+
 def test_another_life_ends_the_one_before(
     clock: trio.testing.MockClock,
 ) -> None:
