Tell callers early when the log turns an entry away after a lost answer

Ruled out: a refusal (the record may be on the log), a longer wait.

Change: after 0.25 s of refusals the caller hears that the fate is open (504) and can ask another entry; the append itself goes on being repeated. A try takes 0.6 s at most instead of 1.0.

--- a/kingcuplever/platform/store.py
+++ b/kingcuplever/platform/store.py
@@ -16,8 +16,8 @@
 # Topics with this prefix keep the newest record of each key.
 _PREFIX: Final = "keyed."
 # Longer than the answers of a store that is slow, short enough to retry
-# within a caller's patience.
-_CALL_S: Final = 1.0
+# several times within a caller's patience.
+_CALL_S: Final = 0.6
 _READ_KB: Final = 1024
 _LENGTH: Final = struct.Struct(">I")
 _ENDS: Final = struct.Struct(">QQ")
--- a/kingcuplever/process/stored/producing.py
+++ b/kingcuplever/process/stored/producing.py
@@ -88,6 +88,9 @@
         self.error: errors.KingcupleverError | None = None
 
 
+# An append whose fate is open is given up towards its callers, though not
+# towards the log, once the log has refused repetitions for so long.
+_REFUSED_IN_DOUBT_S: Final = 0.25
 # Records that one append may carry; bounds what one lost answer holds up.
 _BATCH_RECORDS: Final = 200
 
@@ -142,16 +145,41 @@
                 await self._append_batch(batch)
 
     async def _append_batch(self, batch: list[_Entrusted]) -> None:
+        """Append until it is known what became of the batch."""
         records = [item for one in batch for item in one.records]
-        error: errors.KingcupleverError | None = None
-        try:
-            await self._producer.append(records)
-        except errors.LogRefused as refusal:
-            error = refusal
-        except (errors.LogFenced, errors.LogConflict) as surprise:
-            logs.warn(logs.Part.LOG, f"An append failed: {surprise.detail}")
-            error = errors.LogUnavailable(surprise.detail)
-            self._producer = self._make_producer()
-        for one in batch:
+        doubt_at: float | None = None
+        while True:
+            now = trio.current_time()
+            try:
+                await self._producer.try_append(records)
+                _tell(batch, None)
+                return
+            except errors.LogRefused as refusal:
+                if doubt_at is None:
+                    _tell(batch, refusal)
+                    return
+                if now - doubt_at > _REFUSED_IN_DOUBT_S:
+                    # The log turns us away; another entry may be served.
+                    _tell(batch, errors.LogUnavailable(refusal.detail))
+            except (errors.LogFenced, errors.LogConflict) as surprise:
+                text = f"An append failed: {surprise.detail}"
+                logs.warn(logs.Part.LOG, text)
+                _tell(batch, errors.LogUnavailable(surprise.detail))
+                self._producer = self._make_producer()
+                return
+            except errors.LogUnavailable as error:
+                if doubt_at is None:
+                    doubt_at = now
+                    text = f"An append is in doubt: {error.detail}"
+                    logs.warn(logs.Part.LOG, text)
+            await trio.sleep(_RETRY_S)
+
+
+def _tell(
+    batch: list[_Entrusted], error: errors.KingcupleverError | None
+) -> None:
+    """Let those know who still wait for a batch."""
+    for one in batch:
+        if not one.done.is_set():
             one.error = error
             one.done.set()
