Tell a connection that was never made from a call without an answer

Cause: with tries of 0.6 s the bound of the whole call came with, or before, the bound of connecting, so that a store that can't be reached looked like an append in doubt, and callers waited for 504 where 503 was true.

Change: connecting has 0.4 s, less than any call; a test holds the order.

--- a/kingcuplever/connection/http_client.py
+++ b/kingcuplever/connection/http_client.py
@@ -19,8 +19,9 @@
 
 CONNECTIONS_PER_HOST: Final = 60
 # A connection that is not there by then has surely carried no request; a
-# lost opening packet is sent again only after a second.
-CONNECT_TIMEOUT_S: Final = 0.6
+# lost opening packet is sent again only after a second.  Shorter than any
+# bound of a whole call, which says nothing about whether it was sent.
+CONNECT_TIMEOUT_S: Final = 0.4
 
 
 class Answer(NamedTuple):
--- a/kingcuplever/platform/store.py
+++ b/kingcuplever/platform/store.py
@@ -17,7 +17,7 @@
 _PREFIX: Final = "keyed."
 # Longer than the answers of a store that is slow, short enough to retry
 # several times within a caller's patience.
-_CALL_S: Final = 0.6
+CALL_S: Final = 0.6
 _READ_KB: Final = 1024
 _LENGTH: Final = struct.Struct(">I")
 _ENDS: Final = struct.Struct(">QQ")
@@ -53,7 +53,7 @@
         path = f"/log-append?{parse.urlencode(query)}"
         try:
             answer = await self._client.call(
-                "POST", path, body, timeout_s=_CALL_S
+                "POST", path, body, timeout_s=CALL_S
             )
         except errors.PlatformFailed as error:
             raise _unavailable(error) from error
@@ -87,7 +87,7 @@
         }
         if wait_ms:
             query["WaitMs"] = str(wait_ms)
-        answer = await self._get("/log-read", query, wait_ms / 1000 + _CALL_S)
+        answer = await self._get("/log-read", query, wait_ms / 1000 + CALL_S)
         if answer.status == 410:
             first = int(_json(answer).get("First", 0))
             raise errors.LogGone(f"{topic} begins at {first}.", first)
@@ -104,7 +104,7 @@
         query = {"Topic": _PREFIX + topic, "part": "0"}
         end = -1
         while True:
-            answer = await self._get("/log-newest", query, _CALL_S)
+            answer = await self._get("/log-newest", query, CALL_S)
             if answer.status == 404:
                 return keyed_log.Batch(0, 0, ())
             _check(answer)
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -228,6 +228,21 @@
     assert type(raised.value) is kind
 
 
+def test_connection_that_can_not_be_made_is_a_refusal() -> None:
+    # The bound of the whole call must not come first: it can't tell.
+    assert http_client.CONNECT_TIMEOUT_S < store.CALL_S
+    client = http_client.HttpClient("127.0.0.1:1", 1.0)
+    stamp = keyed_log.Stamp("owner", 3, 9)
+    record = keyed_log.KeyedRecord("k", b"v")
+
+    async def main() -> None:
+        async with client:
+            await store.Store(client).append("jobs", [record], stamp)
+
+    with pytest.raises(errors.LogRefused):
+        trio.run(main)
+
+
 def test_append_gives_the_offset_after_its_records() -> None:
     assert _append(200, b'{"Offset":840,"End":900}') == 841
 
