Leave the rotation sooner when the log can't be read

Change: ready only with a view of 1.6 s; a view of 2.5 s still answers. A process test waits for the way out and back.

--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -180,7 +180,7 @@
     ) -> http_server.HttpResponse:
         is_ready = (
             fronts.queues is not None
-            and desk.is_fresh
+            and desk.is_ready
             and not leaving.is_set()
         )
         return http_server.HttpResponse(200 if is_ready else 503, (), b"")
--- a/kingcuplever/process/job_desk.py
+++ b/kingcuplever/process/job_desk.py
@@ -19,6 +19,9 @@
 
 # A view of the jobs older than this says nothing about jobs it lacks.
 VIEW_S: Final = 2.5
+# An entry whose view is older asks for no new callers: two polls and a slow
+# answer; the balancer needs two seconds more to act on it.
+_READY_S: Final = 1.6
 # How long one look at the log may take before the view counts as old.
 _REFRESH_S: Final = 0.8
 
@@ -37,6 +40,11 @@
         self._follower = follower
         self._appender = appender
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers are better served here than by another entry."""
+        return self._follower.age_s(trio.current_time()) < _READY_S
+
     @property
     def is_fresh(self) -> bool:
         """Whether the jobs have been read from the log recently."""
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -132,6 +132,15 @@
     assert not site.begun(JOB)
 
 
+def test_entry_without_the_log_leaves_the_rotation_and_comes_back(
+    site: wire_site.Site,
+) -> None:
+    site.store.down = True
+    fleet.wait_until(lambda: not site.is_ready("entry-0"), "not ready", 2.5)
+    site.store.down = False
+    fleet.wait_until(lambda: site.is_ready("entry-0"), "ready", 2.5)
+
+
 def test_running_task_outlives_a_log_that_is_away(
     site: wire_site.Site,
 ) -> None:
