--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -72,11 +72,6 @@
         self._resigned = False
         board.listener = self
 
-    @property
-    def owning(self) -> bool:
-        """Whether decisions are made here."""
-        return self._reign is not None
-
     def set_policy(self, policy: model.Policy) -> None:
         """Use a new version of the configuration."""
         self._policy = policy
--- a/kingcuplever/process/scheduling/jobs.py
+++ b/kingcuplever/process/scheduling/jobs.py
@@ -32,9 +32,10 @@
         now: float,
         wall_ms: int,
     ) -> None:
+        """Take a job up from the log, with what a past owner began."""
         if stored.spec is None:
             return
-        job = work.Job(name, stored.spec, stored.order, now)
+        job = work.Job(name, stored.spec, stored.order)
         if stored.progress is not None:
             job.restore(stored.progress, now)
         if job.ended and job.vacant:
@@ -76,6 +77,7 @@
                 self._book.order_start(worker, group, run)
 
     def open_due(self, now: float, wall_ms: int) -> None:
+        """Open the occurrences of all jobs that are due."""
         for job in self._book.jobs.values():
             if not job.ended:
                 self._open_job(job, now, wall_ms)
@@ -165,6 +167,7 @@
             self._book.ready.add(group)
 
     def check_attempts(self, group: work.Group, wall_ms: int) -> None:
+        """Fail a job whose group has failed as often as it may."""
         job = group.job
         most = self._book.queue_of(job).most_attempts
         failures = group.failures + (1 if group.failed else 0)
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -252,7 +252,6 @@
     """One accepted job.
 
     :ivar order: grows with the time of acceptance.
-    :ivar accepted_at: steady time when the owner first saw it.
     :ivar state: one of the states of :mod:`model`.
     :ivar next_due: number of the first occurrence that was not opened yet.
     """
@@ -261,7 +260,6 @@
         "name",
         "spec",
         "order",
-        "accepted_at",
         "state",
         "open",
         "finished",
@@ -269,14 +267,11 @@
         "ended_ms",
     )
 
-    def __init__(
-        self, name: str, spec: model.JobSpec, order: int, now: float
-    ) -> None:
+    def __init__(self, name: str, spec: model.JobSpec, order: int) -> None:
         """Take a job; no occurrence is due yet."""
         self.name = name
         self.spec = spec
         self.order = order
-        self.accepted_at = now
         self.state = model.PENDING
         self.open: dict[int, Occurrence] = {}
         self.finished: set[int] = set()
