Keep a removed queue's attempts and priority for its jobs

Cause: found by reading: a job whose queue the configuration had dropped was given three attempts and the last priority, whatever its queue had said; with two attempts that is a start too many.

Change: both are kept with the job when it is taken. One case, failing before.

--- a/kingcuplever/platform/queues.py
+++ b/kingcuplever/platform/queues.py
@@ -108,6 +108,8 @@
         times=_value(document, "Times", 0),
         first_ms=_value(document, "FirstMs", 0),
         period_ms=_value(document, "PeriodMs", 0),
+        priority=queue.priority,
+        most_attempts=queue.most_attempts,
     )
 
 
--- a/kingcuplever/process/scheduling/book.py
+++ b/kingcuplever/process/scheduling/book.py
@@ -1,5 +1,7 @@
 """What the parts of the scheduler share: jobs, workers, and what changed."""
 
+from typing import Final
+
 from kingcuplever import logs
 from kingcuplever.process import commands
 from kingcuplever.process.scheduling import advice
@@ -8,6 +10,10 @@
 from kingcuplever.process.scheduling import waiting
 from kingcuplever.process.scheduling import work
 
+# What a queue that the configuration has dropped is taken to have promised.
+_GONE_STRETCH: Final = 3.0
+_GONE_SLACK_MS: Final = 1000
+
 
 class AfterCommit:
     """What may happen once a batch of records is on the log.
@@ -56,11 +62,17 @@
 
     def queue_of(self, job: work.Job) -> model.QueuePolicy:
         """Give the queue's policy; a removed queue keeps its jobs going."""
-        found = self.policy.queues.get(job.spec.queue)
+        spec = job.spec
+        found = self.policy.queues.get(spec.queue)
         if found is not None:
             return found
         return model.QueuePolicy(
-            job.spec.queue, job.spec.pool, 2, 3, 3.0, 1000
+            spec.queue,
+            spec.pool,
+            spec.priority,
+            spec.most_attempts,
+            _GONE_STRETCH,
+            _GONE_SLACK_MS,
         )
 
     def note_lost_work(self, cause: str, core_s: float) -> None:
@@ -68,6 +80,7 @@
         self.lost_work[cause] = self.lost_work.get(cause, 0.0) + core_s
 
     def group_of(self, run: fleet.RunId) -> work.Group | None:
+        """Give the group whose present run a task belongs to."""
         task = model.parse_task(run.task)
         job = None if task is None else self.jobs.get(task.job)
         if job is None or task is None:
@@ -76,6 +89,7 @@
         return group if group is not None and group.run == run.run else None
 
     def stop(self, worker: fleet.Worker, run: fleet.RunId) -> None:
+        """Have a run ended, or kept from starting."""
         if run in worker.stops:
             return
         worker.starts.pop(run, None)
@@ -83,6 +97,7 @@
         worker.orders_changed = True
 
     def stop_group(self, group: work.Group) -> None:
+        """Have the present run of all members ended."""
         for index, holder in enumerate(group.holders):
             if holder:
                 run = fleet.RunId(group.tasks[index], group.run)
@@ -91,6 +106,7 @@
     def order_start(
         self, worker: fleet.Worker, group: work.Group, run: fleet.RunId
     ) -> None:
+        """Have a worker start a task; its record must be on the log."""
         worker.starts[run] = fleet.StartOrder(
             run.task,
             run.run,
@@ -101,4 +117,5 @@
         worker.orders_changed = True
 
     def say(self, part: logs.Part, text: str) -> None:
+        """Leave a log line for the process to write."""
         self.said.append(commands.Say(part, text))
--- a/kingcuplever/process/scheduling/model.py
+++ b/kingcuplever/process/scheduling/model.py
@@ -104,6 +104,8 @@
     :ivar times: how often the steps run; 0 for once, at once.
     :ivar first_ms: time of day when occurrence 0 is due.
     :ivar accepted_ms: time of day when an entry took it.
+    :ivar priority: of its queue then, for when the queue is gone.
+    :ivar most_attempts: likewise.
     """
 
     queue: str
@@ -115,6 +117,8 @@
     times: int = 0
     first_ms: int = 0
     period_ms: int = 0
+    priority: int = 2
+    most_attempts: int = 3
 
     @property
     def occurrences(self) -> int:
--- a/kingcuplever/process/scheduling/workers.py
+++ b/kingcuplever/process/scheduling/workers.py
@@ -218,6 +218,7 @@
         self._book.place_wanted = True
 
     def check(self, now: float) -> None:
+        """Look for workers that are lost, stall or leave."""
         for name in [*self._book.workers]:
             worker = self._book.workers[name]
             silent_s = now - worker.heard_at
--- a/tests/test_job_scheduling.py
+++ b/tests/test_job_scheduling.py
@@ -127,6 +127,19 @@
     assert not pool.running("j1")
 
 
+def test_job_of_a_removed_queue_keeps_its_attempts(pool: pools.Pool) -> None:
+    job = pools.spec(pools.step())._replace(queue="gone", most_attempts=2)
+    pool.submit("j1", job)
+    for _ in range(2):
+        pool.pass_time(1.0)
+        assert pool.running("j1")
+        pool.end("j1", "failed")
+        pool.settle()
+    assert pool.state("j1") == model.FAILED
+    pool.pass_time(1.0)
+    assert not pool.running("j1")
+
+
 def test_checkpoint_is_given_to_the_next_run(pool: pools.Pool) -> None:
     pool.submit("j1", pools.spec(pools.step(checkpointing=True)))
     pool.settle()
