Take real time out of three tests; as strict on a clock that stands still

Two thresholds of real time go from the process tests: that a refusal is told at once is held by the scripted log (first try, 0.05 s of virtual time), that a stopped entry ends by itself by its exit code. No product code.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -4,7 +4,6 @@
 import json
 import subprocess
 import sys
-import time
 from typing import Any
 
 import pytest
@@ -120,11 +119,10 @@
 def test_log_away_refuses_at_once_and_truthfully(
     site: wire_site.Site,
 ) -> None:
+    # That a refusal is told at the first try: tests/test_producing.py.
     site.store.down = True
-    asked_at = time.monotonic()
     answer = site.call("entry-0", "POST", JOB, wire_site.job(0.3))
     assert answer.status == 503
-    assert time.monotonic() - asked_at < 1.0
     assert (b"retry-after", b"1") in answer.headers
     site.store.down = False
     wire_site.wait(2.0)
@@ -227,9 +225,8 @@
     survivor = other_than(site, owner)
     site.call(survivor, "POST", JOB, wire_site.job(3.0))
     site.wait_for(survivor, JOB, "running")
-    asked_at = time.monotonic()
+    # One that does not end by itself is killed, and has another code.
     assert site.entries[owner].stop() == 0
-    assert time.monotonic() - asked_at < 6.0
     site.wait_for(survivor, JOB, "completed")
     assert len(site.begun(JOB)) == 1
 
--- a/tests/test_producing.py
+++ b/tests/test_producing.py
@@ -98,7 +98,7 @@
 def test_refusal_is_told_at_once() -> None:
     log = ScriptedLog(REFUSED)
     with pytest.raises(errors.LogRefused):
-        append(log)
+        append(log, timeout_s=0.05)
     assert log.tries == 1
 
 
