--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -1,7 +1,7 @@
 """The baseline: first fit by free count, guarantees as plain quotas.
 
-Walks the workers in order and takes any that have enough free accelerators,
-adjacent or not.  An account's guaranteed count is kept free of others, but
+Walks the workers in order and takes any that have enough free accelerators.
+An account's guaranteed count is kept free of others, but
 nobody keeps its shape.  Starts at once, without any protocol, which favours
 the baseline.
 """
@@ -10,30 +10,15 @@
 import itertools
 
 from bench import workload
-from kingcuplever.process import blocks
-from kingcuplever import shapes
+from kingcuplever import intents
+from kingcuplever.process.scheduling import fragmentation
 
 
 class _Worker:
     """One worker's free accelerators."""
 
-    def __init__(self, shape: shapes.WorkerShape) -> None:
-        self.gpus = shape.gpus
-        self.used = 0
-
-    @property
-    def free(self) -> int:
-        return self.gpus - self.used.bit_count()
-
-    def take(self, count: int) -> int:
-        """Take the lowest free accelerators."""
-        mask = 0
-        for number in range(self.gpus):
-            bit = 1 << number
-            if mask.bit_count() < count and not self.used & bit:
-                mask |= bit
-        self.used |= mask
-        return mask
+    def __init__(self) -> None:
+        self.free = workload.GPUS
 
 
 class FirstFit:
@@ -41,11 +26,11 @@
 
     def __init__(
         self,
-        workers: list[shapes.WorkerShape],
-        accounts: tuple[shapes.AccountSpec, ...],
+        workers: list[workload.Machine],
+        accounts: tuple[intents.AccountSpec, ...],
     ) -> None:
         """Start with every worker free."""
-        self._workers = [_Worker(shape) for shape in workers]
+        self._workers = [_Worker() for _ in workers]
         self._kept = {
             spec.account: sum(_cell_gpus(item) for item in spec.guarantees)
             for spec in accounts
@@ -104,7 +89,9 @@
                 break
         if len(chosen) < spec.tasks:
             return False
-        taken = [(worker, worker.take(spec.shape.gpus)) for worker in chosen]
+        for worker in chosen:
+            worker.free -= spec.shape.gpus
+        taken = [(worker, spec.shape.gpus) for worker in chosen]
         self._used_by[spec.account] += gpus
         self.started[spec.job] = now
         end = now + arrival.seconds
@@ -127,27 +114,20 @@
         self, ended: tuple[float, int, str, list[tuple[_Worker, int]]]
     ) -> None:
         at, _, job, taken = ended
-        for worker, mask in taken:
-            worker.used &= ~mask
-        account, gpus = self._account_of.pop(job)
-        self._used_by[account] -= gpus
+        for worker, gpus in taken:
+            worker.free += gpus
+        account, used = self._account_of.pop(job)
+        self._used_by[account] -= used
         self.ended[job] = at
 
     def _sample(self) -> None:
+        free = [worker.free for worker in self._workers]
         for size, samples in self.samples.items():
-            free = sum(worker.free for worker in self._workers)
-            usable = sum(
-                size
-                * blocks.capacity(
-                    blocks.full_mask(worker.gpus) & ~worker.used,
-                    worker.gpus,
-                    size,
-                )
-                for worker in self._workers
-            )
-            if free:
-                samples.append(1 - usable / free)
-
-
-def _cell_gpus(guarantee: shapes.Guarantee) -> int:
-    return guarantee.cells * shapes.LEVEL_GPUS.get(guarantee.level, 8)
+            if any(free):
+                samples.append(fragmentation.share(free, size))
+
+
+def _cell_gpus(guarantee: intents.Guarantee) -> int:
+    return guarantee.cells * intents.LEVEL_GPUS.get(
+        guarantee.level, workload.GPUS
+    )
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -34,12 +34,7 @@
         settings = deployment.write(folder, shape, timing=_TIMING)
         plan = fleets.plan_for(options.load(settings), _SERVICE)
         fleet = stack.enter_context(fleets.Fleet(settings, plan, folder))
-
-        def all_up() -> bool:
-            rows = fleet.rows("workers")
-            return len([r for r in rows if r["status"] == "up"]) == sides
-
-        fleets.wait_until(all_up, f"{sides} workers up", 120.0)
+        fleet.wait_for_workers(sides, timeout_s=120.0)
         yield fleet
 
 
@@ -129,18 +124,10 @@
     print()
 
 
-def _records(
-    truth: dict[str, dict[str, dict[str, list[str]]]],
-) -> tuple[int, int]:
-    """Count a log's records and their bytes, renewals left out."""
-    count = 0
-    size = 0
-    for stream in truth["streams"].values():
-        for data in stream["records"]:
-            if '"kind":"renewal"' not in data:
-                count += 1
-                size += len(data)
-    return count, size
+def _records(truth: dict[str, list[tuple[str, int]]]) -> tuple[int, int]:
+    """Count the records of jobs and their bytes, renewals left out."""
+    rows = [row for row in truth["keyed.jobs"] if row[0] != "owner"]
+    return len(rows), sum(len(key) + size for key, size in rows)
 
 
 def main() -> None:
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -232,7 +232,7 @@
                 "t", "desk", _SLOTS, target.busy(now), False
             )
             heartbeat = messages.Heartbeat(
-                f"s{number}", 1, 0, "here", (state,), None, (), 0, 0
+                f"s{number}", 1, 0, "here", (state,), 0
             )
             self._take(self._router.heard(heartbeat, now), now)
 
--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -1,7 +1,5 @@
 """Measures the scheduling against the first-fit baseline."""
 
-import collections
-import functools
 import math
 import statistics
 from typing import Final
@@ -11,26 +9,16 @@
 from bench import emulator
 from bench import workload
 from kingcuplever.command import tables
-from kingcuplever import options
-from kingcuplever.process import fragmentation
-from kingcuplever import records
-from kingcuplever import shapes
-from kingcuplever.version import configuration
+from kingcuplever import intents
+from kingcuplever.process.scheduling import fragmentation
 
 _KINDS: Final = ("urgent", "small", "medium", "large", "dawn")
 _HOUR_S: Final = 3600.0
 _SEEDS: Final = (1, 2, 3)
 # A job that waited so long counts as starved.
 _STARVED_S: Final = 1800.0
-_SIZES: Final = (10, 100, 450, 1800)
-# At 1,800 workers on one machine heartbeats are spread out further.
-_COST_TIMING: Final = options.TimingOptions(
-    heartbeat_ms=10_000,
-    silence_ms=30_000,
-    owner_lease_ms=30_000,
-    task_lease_ms=40_000,
-    reserve_ms=2000,
-)
+# How long a job waits before workers are kept for it.
+_PATIENCE_S: Final = 120.0
 
 
 class Outcome(NamedTuple):
@@ -53,42 +41,27 @@
     count: int,
     until: float,
     seed: int,
-    accounts: tuple[shapes.AccountSpec, ...] | None = None,
+    accounts: tuple[intents.AccountSpec, ...] | None = None,
 ) -> Outcome:
     """Run a workload through the product's decisions."""
     accounts = accounts or workload.accounts(count)
-    config = configuration.SchedulingConfig(
-        completion_weight=mix.completion_weight,
-        fragmentation_weight=mix.fragmentation_weight,
-        starvation_s=120.0,
-    )
-    world = emulator.Emulation(workload.workers(count), config, seed)
+    world = emulator.Emulation(workload.workers(count), accounts, _PATIENCE_S)
     arrivals = workload.arrivals(mix, count, until, seed)
-    samples: dict[int, list[float]] = collections.defaultdict(list)
-    offset_s = _prepare(world, accounts)
-    for arrival in arrivals:
-        intent = records.Intent("job", job=arrival.spec)
-        world.at(
-            offset_s + arrival.at, functools.partial(_must, world, intent)
-        )
-
-    def sample() -> None:
-        for size, share in fragmentation.shares(world.schedule.ledger).items():
-            samples[size].append(share)
-        world.at(world.now + workload.SAMPLE_S, sample)
-
-    world.at(offset_s, sample)
-    world.run_until(offset_s + until)
+    world.run(arrivals, until)
     started = {}
     ended = {}
     evictions = 0
-    for name, job in world.schedule.jobs.items():
-        evictions += job.evictions
-        if job.started_ms:
-            started[name] = _seconds(job.started_ms) - offset_s
-        if job.ended_ms:
-            ended[name] = _seconds(job.ended_ms) - offset_s
-    means = {size: statistics.fmean(rows) for size, rows in samples.items()}
+    for name, job in world.board.jobs.items():
+        if job.progress is None:
+            continue
+        evictions += job.progress.evictions
+        if job.progress.begun_ms:
+            started[name] = _seconds(job.progress.begun_ms)
+        if job.progress.ended_ms:
+            ended[name] = _seconds(job.progress.ended_ms)
+    means = {
+        size: statistics.fmean(rows) for size, rows in world.samples.items()
+    }
     return _outcome(arrivals, started, ended, means, until, evictions)
 
 
@@ -97,7 +70,7 @@
     count: int,
     until: float,
     seed: int,
-    accounts: tuple[shapes.AccountSpec, ...] | None = None,
+    accounts: tuple[intents.AccountSpec, ...] | None = None,
 ) -> Outcome:
     """Run a workload through the first-fit baseline."""
     accounts = accounts or workload.accounts(count)
@@ -164,59 +137,6 @@
     print()
 
 
-def measure_cost() -> None:
-    """Print what a decision costs, over the size of the fleet."""
-    rows = []
-    for count in _SIZES:
-        world = emulator.Emulation(
-            workload.workers(count),
-            configuration.SchedulingConfig(),
-            1,
-            _COST_TIMING,
-        )
-        offset_s = _prepare(world, workload.accounts(count))
-        until = 120.0
-        arrivals = workload.arrivals(workload.SADDLEBROOK, count, until, 1)
-        for arrival in arrivals:
-            intent = records.Intent("job", job=arrival.spec)
-            world.at(
-                offset_s + arrival.at, functools.partial(_must, world, intent)
-            )
-        world.decide_s = 0.0
-        world.decisions = 0
-        world.run_until(offset_s + until)
-        cost_us = world.decide_s / max(world.decisions, 1) * 1e6
-        rows.append(
-            {
-                "workers": count,
-                "decisions": world.decisions,
-                "us a decision": f"{cost_us:.0f}",
-                "decisions a second": f"{1e6 / cost_us:.0f}",
-                "share of a core": f"{world.decide_s / until:.2%}",
-            }
-        )
-    print("cost of deciding (ticks, queue, choice), 2 simulated minutes")
-    print(tables.render(rows, list(rows[0])))
-    print()
-
-
-def _prepare(
-    world: emulator.Emulation, accounts: tuple[shapes.AccountSpec, ...]
-) -> float:
-    """Let the workers join and state the accounts; give the time then."""
-    world.run_until(12.0)
-    for spec in accounts:
-        _must(world, records.Intent("account", spec))
-        world.run_until(world.now + 0.1)
-    return world.now
-
-
-def _must(world: emulator.Emulation, intent: records.Intent) -> None:
-    refusal = world.intend(intent)
-    if refusal:
-        raise RuntimeError(refusal)
-
-
 def _seconds(wall_ms: int) -> float:
     return (wall_ms - emulator.START_MS) / 1000
 
@@ -302,7 +222,6 @@
     """Run the scheduling measurements."""
     compare(10, 1.0)
     compare_fragmentation()
-    measure_cost()
 
 
 if __name__ == "__main__":
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -8,13 +8,25 @@
 from typing import Final
 from typing import NamedTuple
 
-from kingcuplever import shapes
+from kingcuplever import intents
+from kingcuplever.process.scheduling import model
 
 SAMPLE_S: Final = 10.0
+PLACE: Final = "here"
+GPUS: Final = 8
+# A worker of the brief's size.
+CAPACITY: Final = model.Need(130_000, 256_000, GPUS)
 # How far an account's true run times are from what it declares.
 _RATIOS: Final = {"large": 0.5, "medium": 2.5, "small": 1.5, "dawn": 1.2}
 
 
+class Machine(NamedTuple):
+    """A worker and its rack."""
+
+    worker: str
+    rack: str
+
+
 class Arrival(NamedTuple):
     """A job that comes at a time.
 
@@ -24,7 +36,7 @@
 
     at: float
     kind: str
-    spec: shapes.JobSpec
+    spec: intents.GangSpec
     seconds: float
 
 
@@ -40,8 +52,6 @@
     load: float
     shares: dict[str, float]
     dawn_every_s: float
-    completion_weight: float
-    fragmentation_weight: float
 
 
 SADDLEBROOK: Final = Mix(
@@ -49,16 +59,12 @@
     0.85,
     {"urgent": 0.10, "small": 0.30, "medium": 0.30, "large": 0.30},
     900.0,
-    0.7,
-    0.3,
 )
 PHULRENU: Final = Mix(
     "phulrenu",
     0.80,
     {"urgent": 0.15, "small": 0.25, "medium": 0.20, "large": 0.40},
     600.0,
-    0.3,
-    0.7,
 )
 
 
@@ -79,24 +85,21 @@
 }
 
 
-def workers(count: int) -> list[shapes.WorkerShape]:
+def workers(count: int) -> list[Machine]:
     """Give workers of the brief's shape, three to a rack."""
-    return [
-        shapes.WorkerShape(f"w{n:04}", f"r{n // 3:04}", 130.0, 250.0, 8)
-        for n in range(count)
-    ]
+    return [Machine(f"w{n:04}", f"r{n // 3:04}") for n in range(count)]
 
 
-def accounts(count: int) -> tuple[shapes.AccountSpec, ...]:
+def accounts(count: int) -> tuple[intents.AccountSpec, ...]:
     """Give four client accounts; two of them hold guarantees."""
     scale = max(1, count // 10)
-    dawn = tuple(shapes.Guarantee("worker", 2) for _ in range(scale))
-    some = tuple(shapes.Guarantee("quad", 2) for _ in range(scale))
+    dawn = tuple(intents.Guarantee("worker", 2) for _ in range(scale))
+    some = tuple(intents.Guarantee("quad", 2) for _ in range(scale))
     return (
-        shapes.AccountSpec("dawn", "here", dawn),
-        shapes.AccountSpec("medium", "here", some),
-        shapes.AccountSpec("small", "here"),
-        shapes.AccountSpec("large", "here"),
+        intents.AccountSpec("dawn", PLACE, dawn),
+        intents.AccountSpec("medium", PLACE, some),
+        intents.AccountSpec("small", PLACE),
+        intents.AccountSpec("large", PLACE),
     )
 
 
@@ -144,7 +147,7 @@
     tasks, gpus = rng.choice(shape.sizes)
     seconds = rng.uniform(shape.least_s, shape.most_s)
     account = "small" if kind == "urgent" else kind
-    priority: shapes.Priority = "urgent" if kind == "urgent" else "batch"
+    priority: intents.Priority = "urgent" if kind == "urgent" else "batch"
     spec = _spec(name, account, tasks, gpus, seconds, priority)
     return Arrival(at, kind, spec, seconds)
 
@@ -171,15 +174,15 @@
     tasks: int,
     gpus: int,
     seconds: float,
-    priority: shapes.Priority,
-) -> shapes.JobSpec:
-    shape = shapes.TaskShape(gpus, gpus * 8.0, gpus * 16.0)
+    priority: intents.Priority,
+) -> intents.GangSpec:
+    shape = intents.TaskShape(gpus, gpus * 8.0, gpus * 16.0)
     declared_s = seconds / _RATIOS[account]
     payload = f'{{"seconds": {seconds}}}'
-    return shapes.JobSpec(
+    return intents.GangSpec(
         name,
         account,
-        "here",
+        PLACE,
         tasks,
         shape,
         declared_s,
--- a/kingcuplever/command/evidence.py
+++ b/kingcuplever/command/evidence.py
@@ -1,23 +1,25 @@
-"""The ``evidence`` command: replays an entry's records and prints verdicts."""
+"""The ``evidence`` command: replays the records and prints verdicts."""
 
 import argparse
 import json
-import time
 from typing import Any
 from typing import Final
 
+import trio
+
+from kingcuplever import clock
 from kingcuplever.command import tables
-from kingcuplever import errors
+from kingcuplever.connection import http_client
 from kingcuplever import plain
+from kingcuplever.platform import clients
 from kingcuplever.process import evidence
-from kingcuplever.process import snapshots
-from kingcuplever.process import state
-from kingcuplever import records
+from kingcuplever.process.stored import evidence_records
 from kingcuplever.version import configuration
 
 EXIT_KEPT: Final = 0
 EXIT_BROKEN: Final = 1
 
+_TIMEOUT_S: Final = 20.0
 # Promises on requests leave no record for each request.
 _UNRECORDED: Final = (
     "each caller gets the whole answer to its own request",
@@ -32,15 +34,46 @@
     common: argparse.ArgumentParser,
 ) -> None:
     """Add the subcommand."""
-    commands.add_parser(
+    parser = commands.add_parser(
         "evidence",
         parents=[common],
         help="replay the records; say for each promise kept or broken",
     )
+    parser.add_argument(
+        "--store",
+        default="",
+        metavar="IP:PORT",
+        help="read the platform's store itself, without any entry",
+    )
+    parser.add_argument(
+        "--reclaim-ms",
+        type=int,
+        default=configuration.SchedulingConfig().reclaim_ms,
+        help="with --store: bound on a reclaim that was promised",
+    )
+
+
+def read_store(address: str, reclaim_ms: int) -> dict[str, Any]:
+    """Read the records where they lie.
+
+    :raises errors.KingcupleverError: if the store gives no answer.
+    """
+
+    async def read() -> list[str]:
+        async with http_client.HttpClient(address, _TIMEOUT_S) as client:
+            log = clients.CLIENTS.make_log(client)
+            found = await log.newest(evidence_records.TOPIC)
+        return [
+            stored.value.decode("utf-8", "replace")
+            for stored in found.records
+            if stored.value is not None
+        ]
+
+    return {"batches": trio.run(read), "reclaim_ms": reclaim_ms}
 
 
 def show(parsed: argparse.Namespace, answer: dict[str, Any]) -> int:
-    """Print the verdicts on what an entry gave.
+    """Print the verdicts on what was read.
 
     :return: the exit code.
     """
@@ -61,105 +94,20 @@
         print(tables.render(rows, columns))
         for item in judgements:
             for finding in item.findings:
-                place = f"{finding.stream}@{finding.offset}"
-                print(f"  {place}: {finding.text}")
+                print(f"  batch {finding.number}: {finding.text}")
     broken = any(item.verdict == "broken" for item in judgements)
     return EXIT_BROKEN if broken else EXIT_KEPT
 
 
 def judge(answer: dict[str, Any]) -> list[evidence.Judgement]:
-    """Judge all streams together, one judgement for each promise."""
-    streams = {
-        name: (int(stream["first"]), _parse(stream["records"]))
-        for name, stream in answer["streams"].items()
-    }
-    _, config_entries = streams.pop(records.CONFIG_STREAM, (0, []))
-    merged: dict[str, evidence.Judgement] = {}
-    scheduling = _newest_config(config_entries).scheduling
-    now_ms = time.time_ns() // 1_000_000
-    for name, (first, entries) in streams.items():
-        start, rest = _start(name, first, entries)
-        for item in evidence.judge_data_centre(
-            name, rest, start, scheduling.reclaim_ms, now_ms
-        ):
-            _merge(merged, item)
-    _merge(
-        merged, evidence.judge_config(records.CONFIG_STREAM, config_entries)
+    """Judge all promises by what was read."""
+    batches = [text.encode() for text in answer["batches"]]
+    judgements = evidence.judge(
+        batches, int(answer["reclaim_ms"]), clock.wall_ms()
     )
+    missing = "no record for each request yet"
     for promise in _UNRECORDED:
-        missing = "no record for each request yet"
-        judgement = evidence.Judgement(promise, "not provable", 0, (), missing)
-        _merge(merged, judgement)
-    return list(merged.values())
-
-
-def _parse(rows: list[dict[str, Any]]) -> list[evidence.Entry]:
-    entries = []
-    for row in rows:
-        record = None
-        try:
-            record = records.from_text(row["data"])
-        except errors.InvalidRequest:
-            # It stays in the digest, and is no evidence of anything else.
-            record = None
-        entries.append(evidence.Entry(row["offset"], row["data"], record))
-    return entries
-
-
-def _start(
-    name: str, first: int, entries: list[evidence.Entry]
-) -> tuple[state.Schedule, list[evidence.Entry]]:
-    """Give the state to begin with, and the records that follow it."""
-    empty = state.Schedule(name.removeprefix("dc-"))
-    if first == 0:
-        return empty, entries
-    for entry in entries:
-        if entry.record is None:
-            continue
-        body = entry.record.body
-        if isinstance(body, records.Snapshot) and body.offset >= first:
-            start = snapshots.read(body)
-            rest = [item for item in entries if item.offset >= body.offset]
-            return start, rest
-    return empty, []
-
-
-def _newest_config(
-    entries: list[evidence.Entry],
-) -> configuration.Configuration:
-    plans: dict[str, records.Plan] = {}
-    newest = configuration.Configuration()
-    for entry in entries:
-        if entry.record is None:
-            continue
-        body = entry.record.body
-        if isinstance(body, records.Plan):
-            plans[body.plan] = body
-        elif isinstance(body, records.Confirmation) and body.plan in plans:
-            document = plans[body.plan].intent.config
-            if document is not None and not plans[body.plan].refusal:
-                newest = configuration.parse(document)
-    return newest
-
-
-def _merge(
-    merged: dict[str, evidence.Judgement], item: evidence.Judgement
-) -> None:
-    known = merged.get(item.promise)
-    if known is None:
-        merged[item.promise] = item
-        return
-    verdicts = (known.verdict, item.verdict)
-    verdict: evidence.Verdict = "not provable"
-    if "kept" in verdicts:
-        verdict = "kept"
-    if "broken" in verdicts:
-        verdict = "broken"
-    missing = known.missing or item.missing
-    merged[item.promise] = evidence.Judgement(
-        item.promise,
-        verdict,
-        known.checked + item.checked,
-        known.findings + item.findings,
-        missing if verdict == "not provable" else "",
-    )
+        judgements.append(
+            evidence.Judgement(promise, "not provable", 0, (), missing)
+        )
+    return judgements
--- a/kingcuplever/command/main.py
+++ b/kingcuplever/command/main.py
@@ -16,6 +16,7 @@
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import options
+from kingcuplever.platform import clients
 from kingcuplever.process import entry
 from kingcuplever.process import side
 
@@ -28,7 +29,7 @@
   kingcuplever entry --settings deployments/saddlebrook.toml --name jerash-1
   kingcuplever side --settings deployments/saddlebrook.toml --name w01
   kingcuplever intent job deployments/intents/roster.toml
-  kingcuplever confirm jerash.0123456789ab
+  kingcuplever confirm job.0123456789ab
   kingcuplever status jobs --watch
   kingcuplever evidence
 
@@ -94,7 +95,7 @@
     logs.set_up(name, parsed.log_level)
     start = entry.run if parsed.command == "entry" else side.run
     try:
-        trio.run(start, fleet, name)
+        trio.run(start, fleet, name, clients.CLIENTS)
     except* OSError as group:
         detail = f"{name}: {group.exceptions[0]}; check the listeners."
         raise errors.SettingsError(detail) from group
--- a/kingcuplever/command/operate.py
+++ b/kingcuplever/command/operate.py
@@ -14,6 +14,7 @@
 
 from kingcuplever.command import evidence
 from kingcuplever.command import tables
+from kingcuplever import errors
 
 EXIT_DONE: Final = 0
 EXIT_REFUSED: Final = 1
@@ -35,13 +36,13 @@
     ),
     "workers": (
         "worker data_centre rack status gpus gpus_free cores_free"
-        " memory_free_gb reason"
+        " memory_free_gb"
     ),
     "targets": (
         "side target service data_centre slots busy draining ejected"
         " observed_ms"
     ),
-    "owners": "data_centre owner epoch offset dropped_records deciding_here",
+    "owners": "owner epoch offset evidence deciding_here",
 }
 
 
@@ -113,7 +114,7 @@
             return _status(parsed)
         return _evidence(parsed)
     except _Unreachable as error:
-        print(f"{error}; check --entry.", file=sys.stderr)
+        print(f"{error}; check --entry or --store.", file=sys.stderr)
         return EXIT_UNREACHABLE
     except _WrongInput as error:
         print(error, file=sys.stderr)
@@ -259,6 +260,12 @@
 
 
 def _evidence(parsed: argparse.Namespace) -> int:
+    if parsed.store:
+        try:
+            found = evidence.read_store(parsed.store, parsed.reclaim_ms)
+        except errors.KingcupleverError as error:
+            raise _Unreachable(f"{parsed.store}: {error.detail}") from error
+        return evidence.show(parsed, found)
     status, answer = _call(parsed, "GET", "/v1/evidence")
     if status != 200:
         return _show_problem(parsed, answer)
--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -186,241 +186,6 @@
         return not (self == other)
 
 
-class WorkerState(object):
-    """
-    Attributes:
-     - worker
-     - rack
-     - cores
-     - memory_gb
-     - gpus
-
-    """
-
-
-    def __init__(self, worker=None, rack=None, cores=None, memory_gb=None, gpus=None,):
-        self.worker = worker
-        self.rack = rack
-        self.cores = cores
-        self.memory_gb = memory_gb
-        self.gpus = gpus
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.worker = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.rack = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.cores = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.DOUBLE:
-                    self.memory_gb = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I32:
-                    self.gpus = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('WorkerState')
-        if self.worker is not None:
-            oprot.writeFieldBegin('worker', TType.STRING, 1)
-            oprot.writeString(self.worker.encode('utf-8') if sys.version_info[0] == 2 else self.worker)
-            oprot.writeFieldEnd()
-        if self.rack is not None:
-            oprot.writeFieldBegin('rack', TType.STRING, 2)
-            oprot.writeString(self.rack.encode('utf-8') if sys.version_info[0] == 2 else self.rack)
-            oprot.writeFieldEnd()
-        if self.cores is not None:
-            oprot.writeFieldBegin('cores', TType.DOUBLE, 3)
-            oprot.writeDouble(self.cores)
-            oprot.writeFieldEnd()
-        if self.memory_gb is not None:
-            oprot.writeFieldBegin('memory_gb', TType.DOUBLE, 4)
-            oprot.writeDouble(self.memory_gb)
-            oprot.writeFieldEnd()
-        if self.gpus is not None:
-            oprot.writeFieldBegin('gpus', TType.I32, 5)
-            oprot.writeI32(self.gpus)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class TaskState(object):
-    """
-    Attributes:
-     - job
-     - attempt
-     - task
-     - phase
-     - detail
-     - progress
-     - cores_used
-     - memory_used_gb
-
-    """
-
-
-    def __init__(self, job=None, attempt=None, task=None, phase=None, detail=None, progress=None, cores_used=None, memory_used_gb=None,):
-        self.job = job
-        self.attempt = attempt
-        self.task = task
-        self.phase = phase
-        self.detail = detail
-        self.progress = progress
-        self.cores_used = cores_used
-        self.memory_used_gb = memory_used_gb
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.task = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRING:
-                    self.phase = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.DOUBLE:
-                    self.progress = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.DOUBLE:
-                    self.cores_used = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.DOUBLE:
-                    self.memory_used_gb = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('TaskState')
-        if self.job is not None:
-            oprot.writeFieldBegin('job', TType.STRING, 1)
-            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
-            oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 2)
-            oprot.writeI32(self.attempt)
-            oprot.writeFieldEnd()
-        if self.task is not None:
-            oprot.writeFieldBegin('task', TType.I32, 3)
-            oprot.writeI32(self.task)
-            oprot.writeFieldEnd()
-        if self.phase is not None:
-            oprot.writeFieldBegin('phase', TType.STRING, 4)
-            oprot.writeString(self.phase.encode('utf-8') if sys.version_info[0] == 2 else self.phase)
-            oprot.writeFieldEnd()
-        if self.detail is not None:
-            oprot.writeFieldBegin('detail', TType.STRING, 5)
-            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
-            oprot.writeFieldEnd()
-        if self.progress is not None:
-            oprot.writeFieldBegin('progress', TType.DOUBLE, 6)
-            oprot.writeDouble(self.progress)
-            oprot.writeFieldEnd()
-        if self.cores_used is not None:
-            oprot.writeFieldBegin('cores_used', TType.DOUBLE, 7)
-            oprot.writeDouble(self.cores_used)
-            oprot.writeFieldEnd()
-        if self.memory_used_gb is not None:
-            oprot.writeFieldBegin('memory_used_gb', TType.DOUBLE, 8)
-            oprot.writeDouble(self.memory_used_gb)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class Heartbeat(object):
     """
     Attributes:
@@ -429,25 +194,19 @@
      - sequence
      - data_centre
      - targets
-     - worker
-     - tasks
      - config_version
-     - epoch
      - config
 
     """
 
 
-    def __init__(self, side=None, incarnation=None, sequence=None, data_centre=None, targets=None, worker=None, tasks=None, config_version=None, epoch=None, config=None,):
+    def __init__(self, side=None, incarnation=None, sequence=None, data_centre=None, targets=None, config_version=None, config=None,):
         self.side = side
         self.incarnation = incarnation
         self.sequence = sequence
         self.data_centre = data_centre
         self.targets = targets
-        self.worker = worker
-        self.tasks = tasks
         self.config_version = config_version
-        self.epoch = epoch
         self.config = config
 
     def read(self, iprot):
@@ -491,33 +250,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
-                if ftype == TType.STRUCT:
-                    self.worker = WorkerState()
-                    self.worker.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.LIST:
-                    self.tasks = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = TaskState()
-                        _elem11.read(iprot)
-                        self.tasks.append(_elem11)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
                 if ftype == TType.I64:
                     self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.I64:
-                    self.epoch = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
+            elif fid == 7:
                 if ftype == TType.STRING:
                     self.config = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
@@ -551,31 +288,16 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.targets))
-            for iter12 in self.targets:
-                iter12.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.worker is not None:
-            oprot.writeFieldBegin('worker', TType.STRUCT, 6)
-            self.worker.write(oprot)
-            oprot.writeFieldEnd()
-        if self.tasks is not None:
-            oprot.writeFieldBegin('tasks', TType.LIST, 7)
-            oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter13 in self.tasks:
-                iter13.write(oprot)
+            for iter6 in self.targets:
+                iter6.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
-            oprot.writeFieldBegin('config_version', TType.I64, 8)
+            oprot.writeFieldBegin('config_version', TType.I64, 6)
             oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
-        if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 9)
-            oprot.writeI64(self.epoch)
-            oprot.writeFieldEnd()
         if self.config is not None:
-            oprot.writeFieldBegin('config', TType.STRING, 10)
+            oprot.writeFieldBegin('config', TType.STRING, 7)
             oprot.writeString(self.config.encode('utf-8') if sys.version_info[0] == 2 else self.config)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -596,20 +318,20 @@
         return not (self == other)
 
 
-class GangLease(object):
+class HeartbeatReply(object):
     """
     Attributes:
-     - job
-     - attempt
-     - ttl_ms
+     - entry
+     - config_version
+     - config
 
     """
 
 
-    def __init__(self, job=None, attempt=None, ttl_ms=None,):
-        self.job = job
-        self.attempt = attempt
-        self.ttl_ms = ttl_ms
+    def __init__(self, entry=None, config_version=None, config=None,):
+        self.entry = entry
+        self.config_version = config_version
+        self.config = config
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -622,17 +344,17 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
+                if ftype == TType.I64:
+                    self.config_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.ttl_ms = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.config = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -644,18 +366,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('GangLease')
-        if self.job is not None:
-            oprot.writeFieldBegin('job', TType.STRING, 1)
-            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+        oprot.writeStructBegin('HeartbeatReply')
+        if self.entry is not None:
+            oprot.writeFieldBegin('entry', TType.STRING, 1)
+            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
             oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 2)
-            oprot.writeI32(self.attempt)
+        if self.config_version is not None:
+            oprot.writeFieldBegin('config_version', TType.I64, 2)
+            oprot.writeI64(self.config_version)
             oprot.writeFieldEnd()
-        if self.ttl_ms is not None:
-            oprot.writeFieldBegin('ttl_ms', TType.I32, 3)
-            oprot.writeI32(self.ttl_ms)
+        if self.config is not None:
+            oprot.writeFieldBegin('config', TType.STRING, 3)
+            oprot.writeString(self.config.encode('utf-8') if sys.version_info[0] == 2 else self.config)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -675,18 +397,36 @@
         return not (self == other)
 
 
-class AttemptId(object):
+class Dispatch(object):
     """
     Attributes:
-     - job
-     - attempt
+     - request
+     - key
+     - idempotent
+     - account
+     - service_name
+     - target
+     - timeout_ms
+     - headers
+     - body
+     - incarnation
+     - join_only
 
     """
 
 
-    def __init__(self, job=None, attempt=None,):
-        self.job = job
-        self.attempt = attempt
+    def __init__(self, request=None, key=None, idempotent=None, account=None, service_name=None, target=None, timeout_ms=None, headers=None, body=None, incarnation=None, join_only=None,):
+        self.request = request
+        self.key = key
+        self.idempotent = idempotent
+        self.account = account
+        self.service_name = service_name
+        self.target = target
+        self.timeout_ms = timeout_ms
+        self.headers = headers
+        self.body = body
+        self.incarnation = incarnation
+        self.join_only = join_only
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -699,228 +439,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('AttemptId')
-        if self.job is not None:
-            oprot.writeFieldBegin('job', TType.STRING, 1)
-            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
-            oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 2)
-            oprot.writeI32(self.attempt)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class HeartbeatReply(object):
-    """
-    Attributes:
-     - entry
-     - epoch
-     - leases
-     - forget
-     - config_version
-     - config
-
-    """
-
-
-    def __init__(self, entry=None, epoch=None, leases=None, forget=None, config_version=None, config=None,):
-        self.entry = entry
-        self.epoch = epoch
-        self.leases = leases
-        self.forget = forget
-        self.config_version = config_version
-        self.config = config
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.entry = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.epoch = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.LIST:
-                    self.leases = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = GangLease()
-                        _elem19.read(iprot)
-                        self.leases.append(_elem19)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.forget = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = AttemptId()
-                        _elem25.read(iprot)
-                        self.forget.append(_elem25)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I64:
-                    self.config_version = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.STRING:
-                    self.config = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('HeartbeatReply')
-        if self.entry is not None:
-            oprot.writeFieldBegin('entry', TType.STRING, 1)
-            oprot.writeString(self.entry.encode('utf-8') if sys.version_info[0] == 2 else self.entry)
-            oprot.writeFieldEnd()
-        if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 2)
-            oprot.writeI64(self.epoch)
-            oprot.writeFieldEnd()
-        if self.leases is not None:
-            oprot.writeFieldBegin('leases', TType.LIST, 3)
-            oprot.writeListBegin(TType.STRUCT, len(self.leases))
-            for iter26 in self.leases:
-                iter26.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.forget is not None:
-            oprot.writeFieldBegin('forget', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.forget))
-            for iter27 in self.forget:
-                iter27.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.config_version is not None:
-            oprot.writeFieldBegin('config_version', TType.I64, 5)
-            oprot.writeI64(self.config_version)
-            oprot.writeFieldEnd()
-        if self.config is not None:
-            oprot.writeFieldBegin('config', TType.STRING, 6)
-            oprot.writeString(self.config.encode('utf-8') if sys.version_info[0] == 2 else self.config)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class Dispatch(object):
-    """
-    Attributes:
-     - request
-     - key
-     - idempotent
-     - account
-     - service_name
-     - target
-     - timeout_ms
-     - headers
-     - body
-     - incarnation
-     - join_only
-
-    """
-
-
-    def __init__(self, request=None, key=None, idempotent=None, account=None, service_name=None, target=None, timeout_ms=None, headers=None, body=None, incarnation=None, join_only=None,):
-        self.request = request
-        self.key = key
-        self.idempotent = idempotent
-        self.account = account
-        self.service_name = service_name
-        self.target = target
-        self.timeout_ms = timeout_ms
-        self.headers = headers
-        self.body = body
-        self.incarnation = incarnation
-        self.join_only = join_only
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
@@ -951,11 +475,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Header()
-                        _elem33.read(iprot)
-                        self.headers.append(_elem33)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = Header()
+                        _elem12.read(iprot)
+                        self.headers.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1015,8 +539,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter34 in self.headers:
-                iter34.write(oprot)
+            for iter13 in self.headers:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -1083,662 +607,43 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.verdict = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.status = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.headers = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Header()
-                        _elem40.read(iprot)
-                        self.headers.append(_elem40)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.body = iprot.readBinary()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I32:
-                    self.length = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.STRING:
-                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('DispatchReply')
-        if self.request is not None:
-            oprot.writeFieldBegin('request', TType.STRING, 1)
-            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
-            oprot.writeFieldEnd()
-        if self.verdict is not None:
-            oprot.writeFieldBegin('verdict', TType.STRING, 2)
-            oprot.writeString(self.verdict.encode('utf-8') if sys.version_info[0] == 2 else self.verdict)
-            oprot.writeFieldEnd()
-        if self.status is not None:
-            oprot.writeFieldBegin('status', TType.I32, 3)
-            oprot.writeI32(self.status)
-            oprot.writeFieldEnd()
-        if self.headers is not None:
-            oprot.writeFieldBegin('headers', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter41 in self.headers:
-                iter41.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.body is not None:
-            oprot.writeFieldBegin('body', TType.STRING, 5)
-            oprot.writeBinary(self.body)
-            oprot.writeFieldEnd()
-        if self.length is not None:
-            oprot.writeFieldBegin('length', TType.I32, 6)
-            oprot.writeI32(self.length)
-            oprot.writeFieldEnd()
-        if self.detail is not None:
-            oprot.writeFieldBegin('detail', TType.STRING, 7)
-            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class Claim(object):
-    """
-    Attributes:
-     - request
-     - key
-     - runner
-     - incarnation
-     - replaces
-     - since_ms
-
-    """
-
-
-    def __init__(self, request=None, key=None, runner=None, incarnation=None, replaces=None, since_ms=None,):
-        self.request = request
-        self.key = key
-        self.runner = runner
-        self.incarnation = incarnation
-        self.replaces = replaces
-        self.since_ms = since_ms
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRING:
-                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.replaces = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I64:
-                    self.since_ms = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Claim')
-        if self.request is not None:
-            oprot.writeFieldBegin('request', TType.STRING, 1)
-            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
-            oprot.writeFieldEnd()
-        if self.key is not None:
-            oprot.writeFieldBegin('key', TType.STRING, 2)
-            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
-            oprot.writeFieldEnd()
-        if self.runner is not None:
-            oprot.writeFieldBegin('runner', TType.STRING, 3)
-            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
-            oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 4)
-            oprot.writeI64(self.incarnation)
-            oprot.writeFieldEnd()
-        if self.replaces is not None:
-            oprot.writeFieldBegin('replaces', TType.STRING, 5)
-            oprot.writeString(self.replaces.encode('utf-8') if sys.version_info[0] == 2 else self.replaces)
-            oprot.writeFieldEnd()
-        if self.since_ms is not None:
-            oprot.writeFieldBegin('since_ms', TType.I64, 6)
-            oprot.writeI64(self.since_ms)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class ClaimReply(object):
-    """
-    Attributes:
-     - granted
-     - runner
-     - incarnation
-
-    """
-
-
-    def __init__(self, granted=None, runner=None, incarnation=None,):
-        self.granted = granted
-        self.runner = runner
-        self.incarnation = incarnation
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.BOOL:
-                    self.granted = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('ClaimReply')
-        if self.granted is not None:
-            oprot.writeFieldBegin('granted', TType.BOOL, 1)
-            oprot.writeBool(self.granted)
-            oprot.writeFieldEnd()
-        if self.runner is not None:
-            oprot.writeFieldBegin('runner', TType.STRING, 2)
-            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
-            oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 3)
-            oprot.writeI64(self.incarnation)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class TaskOrder(object):
-    """
-    Attributes:
-     - task
-     - gpu_mask
-     - cores
-     - memory_gb
-     - payload
-     - progress
-
-    """
-
-
-    def __init__(self, task=None, gpu_mask=None, cores=None, memory_gb=None, payload=None, progress=None,):
-        self.task = task
-        self.gpu_mask = gpu_mask
-        self.cores = cores
-        self.memory_gb = memory_gb
-        self.payload = payload
-        self.progress = progress
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I32:
-                    self.task = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I32:
-                    self.gpu_mask = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.cores = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.DOUBLE:
-                    self.memory_gb = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRING:
-                    self.payload = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.DOUBLE:
-                    self.progress = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('TaskOrder')
-        if self.task is not None:
-            oprot.writeFieldBegin('task', TType.I32, 1)
-            oprot.writeI32(self.task)
-            oprot.writeFieldEnd()
-        if self.gpu_mask is not None:
-            oprot.writeFieldBegin('gpu_mask', TType.I32, 2)
-            oprot.writeI32(self.gpu_mask)
-            oprot.writeFieldEnd()
-        if self.cores is not None:
-            oprot.writeFieldBegin('cores', TType.DOUBLE, 3)
-            oprot.writeDouble(self.cores)
-            oprot.writeFieldEnd()
-        if self.memory_gb is not None:
-            oprot.writeFieldBegin('memory_gb', TType.DOUBLE, 4)
-            oprot.writeDouble(self.memory_gb)
-            oprot.writeFieldEnd()
-        if self.payload is not None:
-            oprot.writeFieldBegin('payload', TType.STRING, 5)
-            oprot.writeString(self.payload.encode('utf-8') if sys.version_info[0] == 2 else self.payload)
-            oprot.writeFieldEnd()
-        if self.progress is not None:
-            oprot.writeFieldBegin('progress', TType.DOUBLE, 6)
-            oprot.writeDouble(self.progress)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class Reserve(object):
-    """
-    Attributes:
-     - epoch
-     - job
-     - attempt
-     - tasks
-     - ttl_ms
-
-    """
-
-
-    def __init__(self, epoch=None, job=None, attempt=None, tasks=None, ttl_ms=None,):
-        self.epoch = epoch
-        self.job = job
-        self.attempt = attempt
-        self.tasks = tasks
-        self.ttl_ms = ttl_ms
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.epoch = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.LIST:
-                    self.tasks = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = TaskOrder()
-                        _elem47.read(iprot)
-                        self.tasks.append(_elem47)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I32:
-                    self.ttl_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Reserve')
-        if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 1)
-            oprot.writeI64(self.epoch)
-            oprot.writeFieldEnd()
-        if self.job is not None:
-            oprot.writeFieldBegin('job', TType.STRING, 2)
-            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
-            oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 3)
-            oprot.writeI32(self.attempt)
-            oprot.writeFieldEnd()
-        if self.tasks is not None:
-            oprot.writeFieldBegin('tasks', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter48 in self.tasks:
-                iter48.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.ttl_ms is not None:
-            oprot.writeFieldBegin('ttl_ms', TType.I32, 5)
-            oprot.writeI32(self.ttl_ms)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class Go(object):
-    """
-    Attributes:
-     - epoch
-     - job
-     - attempt
-     - after_sequence
-     - ttl_ms
-
-    """
-
-
-    def __init__(self, epoch=None, job=None, attempt=None, after_sequence=None, ttl_ms=None,):
-        self.epoch = epoch
-        self.job = job
-        self.attempt = attempt
-        self.after_sequence = after_sequence
-        self.ttl_ms = ttl_ms
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.epoch = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I64:
-                    self.after_sequence = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I32:
-                    self.ttl_ms = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('Go')
-        if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 1)
-            oprot.writeI64(self.epoch)
-            oprot.writeFieldEnd()
-        if self.job is not None:
-            oprot.writeFieldBegin('job', TType.STRING, 2)
-            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
-            oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 3)
-            oprot.writeI32(self.attempt)
-            oprot.writeFieldEnd()
-        if self.after_sequence is not None:
-            oprot.writeFieldBegin('after_sequence', TType.I64, 4)
-            oprot.writeI64(self.after_sequence)
-            oprot.writeFieldEnd()
-        if self.ttl_ms is not None:
-            oprot.writeFieldBegin('ttl_ms', TType.I32, 5)
-            oprot.writeI32(self.ttl_ms)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, value)
-             for key, value in self.__dict__.items()]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class Stop(object):
-    """
-    Attributes:
-     - epoch
-     - job
-     - attempt
-     - checkpoint_ms
-
-    """
-
-
-    def __init__(self, epoch=None, job=None, attempt=None, checkpoint_ms=None,):
-        self.epoch = epoch
-        self.job = job
-        self.attempt = attempt
-        self.checkpoint_ms = checkpoint_ms
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.I64:
-                    self.epoch = iprot.readI64()
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.verdict = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
+                    self.status = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
+                if ftype == TType.LIST:
+                    self.headers = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Header()
+                        _elem19.read(iprot)
+                        self.headers.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
                 if ftype == TType.I32:
-                    self.checkpoint_ms = iprot.readI32()
+                    self.length = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1750,22 +655,37 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Stop')
-        if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 1)
-            oprot.writeI64(self.epoch)
+        oprot.writeStructBegin('DispatchReply')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.STRING, 2)
+            oprot.writeString(self.verdict.encode('utf-8') if sys.version_info[0] == 2 else self.verdict)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 3)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.headers))
+            for iter20 in self.headers:
+                iter20.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.job is not None:
-            oprot.writeFieldBegin('job', TType.STRING, 2)
-            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 5)
+            oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 3)
-            oprot.writeI32(self.attempt)
+        if self.length is not None:
+            oprot.writeFieldBegin('length', TType.I32, 6)
+            oprot.writeI32(self.length)
             oprot.writeFieldEnd()
-        if self.checkpoint_ms is not None:
-            oprot.writeFieldBegin('checkpoint_ms', TType.I32, 4)
-            oprot.writeI32(self.checkpoint_ms)
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 7)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1785,22 +705,26 @@
         return not (self == other)
 
 
-class Throttle(object):
+class Claim(object):
     """
     Attributes:
-     - epoch
-     - job
-     - attempt
-     - task
+     - request
+     - key
+     - runner
+     - incarnation
+     - replaces
+     - since_ms
 
     """
 
 
-    def __init__(self, epoch=None, job=None, attempt=None, task=None,):
-        self.epoch = epoch
-        self.job = job
-        self.attempt = attempt
-        self.task = task
+    def __init__(self, request=None, key=None, runner=None, incarnation=None, replaces=None, since_ms=None,):
+        self.request = request
+        self.key = key
+        self.runner = runner
+        self.incarnation = incarnation
+        self.replaces = replaces
+        self.since_ms = since_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1812,23 +736,33 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.epoch = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.request = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.attempt = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.task = iprot.readI32()
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.replaces = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.since_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1840,22 +774,30 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Throttle')
-        if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 1)
-            oprot.writeI64(self.epoch)
+        oprot.writeStructBegin('Claim')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 1)
+            oprot.writeString(self.request.encode('utf-8') if sys.version_info[0] == 2 else self.request)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
             oprot.writeFieldEnd()
-        if self.job is not None:
-            oprot.writeFieldBegin('job', TType.STRING, 2)
-            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 3)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
             oprot.writeFieldEnd()
-        if self.attempt is not None:
-            oprot.writeFieldBegin('attempt', TType.I32, 3)
-            oprot.writeI32(self.attempt)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 4)
+            oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
-        if self.task is not None:
-            oprot.writeFieldBegin('task', TType.I32, 4)
-            oprot.writeI32(self.task)
+        if self.replaces is not None:
+            oprot.writeFieldBegin('replaces', TType.STRING, 5)
+            oprot.writeString(self.replaces.encode('utf-8') if sys.version_info[0] == 2 else self.replaces)
+            oprot.writeFieldEnd()
+        if self.since_ms is not None:
+            oprot.writeFieldBegin('since_ms', TType.I64, 6)
+            oprot.writeI64(self.since_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1875,28 +817,20 @@
         return not (self == other)
 
 
-class TaskReport(object):
+class ClaimReply(object):
     """
     Attributes:
-     - side
+     - granted
+     - runner
      - incarnation
-     - sequence
-     - accepted
-     - detail
-     - tasks
-     - epoch
 
     """
 
 
-    def __init__(self, side=None, incarnation=None, sequence=None, accepted=None, detail=None, tasks=None, epoch=None,):
-        self.side = side
+    def __init__(self, granted=None, runner=None, incarnation=None,):
+        self.granted = granted
+        self.runner = runner
         self.incarnation = incarnation
-        self.sequence = sequence
-        self.accepted = accepted
-        self.detail = detail
-        self.tasks = tasks
-        self.epoch = epoch
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1908,44 +842,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.side = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
                 if ftype == TType.BOOL:
-                    self.accepted = iprot.readBool()
+                    self.granted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 2:
                 if ftype == TType.STRING:
-                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.LIST:
-                    self.tasks = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = TaskState()
-                        _elem54.read(iprot)
-                        self.tasks.append(_elem54)
-                    iprot.readListEnd()
+                    self.runner = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 3:
                 if ftype == TType.I64:
-                    self.epoch = iprot.readI64()
+                    self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1957,38 +865,19 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('TaskReport')
-        if self.side is not None:
-            oprot.writeFieldBegin('side', TType.STRING, 1)
-            oprot.writeString(self.side.encode('utf-8') if sys.version_info[0] == 2 else self.side)
+        oprot.writeStructBegin('ClaimReply')
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 1)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.runner is not None:
+            oprot.writeFieldBegin('runner', TType.STRING, 2)
+            oprot.writeString(self.runner.encode('utf-8') if sys.version_info[0] == 2 else self.runner)
             oprot.writeFieldEnd()
         if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 3)
-            oprot.writeI64(self.sequence)
-            oprot.writeFieldEnd()
-        if self.accepted is not None:
-            oprot.writeFieldBegin('accepted', TType.BOOL, 4)
-            oprot.writeBool(self.accepted)
-            oprot.writeFieldEnd()
-        if self.detail is not None:
-            oprot.writeFieldBegin('detail', TType.STRING, 5)
-            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
-            oprot.writeFieldEnd()
-        if self.tasks is not None:
-            oprot.writeFieldBegin('tasks', TType.LIST, 6)
-            oprot.writeListBegin(TType.STRUCT, len(self.tasks))
-            for iter55 in self.tasks:
-                iter55.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.epoch is not None:
-            oprot.writeFieldBegin('epoch', TType.I64, 7)
-            oprot.writeI64(self.epoch)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2374,10 +1263,10 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.labels = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.labels.append(_elem61)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2399,33 +1288,33 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.running = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = RunningRow()
-                        _elem67.read(iprot)
-                        self.running.append(_elem67)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = RunningRow()
+                        _elem32.read(iprot)
+                        self.running.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.ended = []
-                    (_etype71, _size68) = iprot.readListBegin()
-                    for _i72 in range(_size68):
-                        _elem73 = EndedRow()
-                        _elem73.read(iprot)
-                        self.ended.append(_elem73)
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = EndedRow()
+                        _elem38.read(iprot)
+                        self.ended.append(_elem38)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.refused = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = RefusedRow()
-                        _elem79.read(iprot)
-                        self.refused.append(_elem79)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = RefusedRow()
+                        _elem44.read(iprot)
+                        self.refused.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2475,8 +1364,8 @@
         if self.labels is not None:
             oprot.writeFieldBegin('labels', TType.LIST, 8)
             oprot.writeListBegin(TType.STRING, len(self.labels))
-            for iter80 in self.labels:
-                oprot.writeString(iter80.encode('utf-8') if sys.version_info[0] == 2 else iter80)
+            for iter45 in self.labels:
+                oprot.writeString(iter45.encode('utf-8') if sys.version_info[0] == 2 else iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.draining is not None:
@@ -2494,22 +1383,22 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.running))
-            for iter81 in self.running:
-                iter81.write(oprot)
+            for iter46 in self.running:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.ended is not None:
             oprot.writeFieldBegin('ended', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.ended))
-            for iter82 in self.ended:
-                iter82.write(oprot)
+            for iter47 in self.ended:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.refused is not None:
             oprot.writeFieldBegin('refused', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.refused))
-            for iter83 in self.refused:
-                iter83.write(oprot)
+            for iter48 in self.refused:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.clock_ms is not None:
@@ -2889,22 +1778,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.starts = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = StartRow()
-                        _elem89.read(iprot)
-                        self.starts.append(_elem89)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = StartRow()
+                        _elem54.read(iprot)
+                        self.starts.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.stops = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = StopRow()
-                        _elem95.read(iprot)
-                        self.stops.append(_elem95)
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = StopRow()
+                        _elem60.read(iprot)
+                        self.stops.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2916,11 +1805,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.paces = []
-                    (_etype99, _size96) = iprot.readListBegin()
-                    for _i100 in range(_size96):
-                        _elem101 = PaceRow()
-                        _elem101.read(iprot)
-                        self.paces.append(_elem101)
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = PaceRow()
+                        _elem66.read(iprot)
+                        self.paces.append(_elem66)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2949,15 +1838,15 @@
         if self.starts is not None:
             oprot.writeFieldBegin('starts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.starts))
-            for iter102 in self.starts:
-                iter102.write(oprot)
+            for iter67 in self.starts:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.stops is not None:
             oprot.writeFieldBegin('stops', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.stops))
-            for iter103 in self.stops:
-                iter103.write(oprot)
+            for iter68 in self.stops:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.acked is not None:
@@ -2967,8 +1856,8 @@
         if self.paces is not None:
             oprot.writeFieldBegin('paces', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.paces))
-            for iter104 in self.paces:
-                iter104.write(oprot)
+            for iter69 in self.paces:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3121,11 +2010,6 @@
      - heartbeat_reply
      - dispatch
      - dispatch_reply
-     - reserve
-     - go
-     - stop
-     - throttle
-     - task_report
      - peer_error
      - claim
      - claim_reply
@@ -3137,16 +2021,11 @@
     """
 
 
-    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, reserve=None, go=None, stop=None, throttle=None, task_report=None, peer_error=None, claim=None, claim_reply=None, worker_report=None, worker_reply=None, worker_orders=None, orders_taken=None,):
+    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, peer_error=None, claim=None, claim_reply=None, worker_report=None, worker_reply=None, worker_orders=None, orders_taken=None,):
         self.heartbeat = heartbeat
         self.heartbeat_reply = heartbeat_reply
         self.dispatch = dispatch
         self.dispatch_reply = dispatch_reply
-        self.reserve = reserve
-        self.go = go
-        self.stop = stop
-        self.throttle = throttle
-        self.task_report = task_report
         self.peer_error = peer_error
         self.claim = claim
         self.claim_reply = claim_reply
@@ -3189,72 +2068,42 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.STRUCT:
-                    self.reserve = Reserve()
-                    self.reserve.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.STRUCT:
-                    self.go = Go()
-                    self.go.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.STRUCT:
-                    self.stop = Stop()
-                    self.stop.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.STRUCT:
-                    self.throttle = Throttle()
-                    self.throttle.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.STRUCT:
-                    self.task_report = TaskReport()
-                    self.task_report.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
                 if ftype == TType.STRUCT:
                     self.peer_error = PeerError()
                     self.peer_error.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
+            elif fid == 6:
                 if ftype == TType.STRUCT:
                     self.claim = Claim()
                     self.claim.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            elif fid == 7:
                 if ftype == TType.STRUCT:
                     self.claim_reply = ClaimReply()
                     self.claim_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 13:
+            elif fid == 8:
                 if ftype == TType.STRUCT:
                     self.worker_report = WorkerReport()
                     self.worker_report.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 14:
+            elif fid == 9:
                 if ftype == TType.STRUCT:
                     self.worker_reply = WorkerReply()
                     self.worker_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 15:
+            elif fid == 10:
                 if ftype == TType.STRUCT:
                     self.worker_orders = WorkerOrders()
                     self.worker_orders.read(iprot)
                 else:
                     iprot.skip(ftype)
-            elif fid == 16:
+            elif fid == 11:
                 if ftype == TType.STRUCT:
                     self.orders_taken = OrdersTaken()
                     self.orders_taken.read(iprot)
@@ -3286,52 +2135,32 @@
             oprot.writeFieldBegin('dispatch_reply', TType.STRUCT, 4)
             self.dispatch_reply.write(oprot)
             oprot.writeFieldEnd()
-        if self.reserve is not None:
-            oprot.writeFieldBegin('reserve', TType.STRUCT, 5)
-            self.reserve.write(oprot)
-            oprot.writeFieldEnd()
-        if self.go is not None:
-            oprot.writeFieldBegin('go', TType.STRUCT, 6)
-            self.go.write(oprot)
-            oprot.writeFieldEnd()
-        if self.stop is not None:
-            oprot.writeFieldBegin('stop', TType.STRUCT, 7)
-            self.stop.write(oprot)
-            oprot.writeFieldEnd()
-        if self.throttle is not None:
-            oprot.writeFieldBegin('throttle', TType.STRUCT, 8)
-            self.throttle.write(oprot)
-            oprot.writeFieldEnd()
-        if self.task_report is not None:
-            oprot.writeFieldBegin('task_report', TType.STRUCT, 9)
-            self.task_report.write(oprot)
-            oprot.writeFieldEnd()
         if self.peer_error is not None:
-            oprot.writeFieldBegin('peer_error', TType.STRUCT, 10)
+            oprot.writeFieldBegin('peer_error', TType.STRUCT, 5)
             self.peer_error.write(oprot)
             oprot.writeFieldEnd()
         if self.claim is not None:
-            oprot.writeFieldBegin('claim', TType.STRUCT, 11)
+            oprot.writeFieldBegin('claim', TType.STRUCT, 6)
             self.claim.write(oprot)
             oprot.writeFieldEnd()
         if self.claim_reply is not None:
-            oprot.writeFieldBegin('claim_reply', TType.STRUCT, 12)
+            oprot.writeFieldBegin('claim_reply', TType.STRUCT, 7)
             self.claim_reply.write(oprot)
             oprot.writeFieldEnd()
         if self.worker_report is not None:
-            oprot.writeFieldBegin('worker_report', TType.STRUCT, 13)
+            oprot.writeFieldBegin('worker_report', TType.STRUCT, 8)
             self.worker_report.write(oprot)
             oprot.writeFieldEnd()
         if self.worker_reply is not None:
-            oprot.writeFieldBegin('worker_reply', TType.STRUCT, 14)
+            oprot.writeFieldBegin('worker_reply', TType.STRUCT, 9)
             self.worker_reply.write(oprot)
             oprot.writeFieldEnd()
         if self.worker_orders is not None:
-            oprot.writeFieldBegin('worker_orders', TType.STRUCT, 15)
+            oprot.writeFieldBegin('worker_orders', TType.STRUCT, 10)
             self.worker_orders.write(oprot)
             oprot.writeFieldEnd()
         if self.orders_taken is not None:
-            oprot.writeFieldBegin('orders_taken', TType.STRUCT, 16)
+            oprot.writeFieldBegin('orders_taken', TType.STRUCT, 11)
             self.orders_taken.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3445,27 +2274,6 @@
     (4, TType.I32, 'busy', None, None, ),  # 4
     (5, TType.BOOL, 'draining', None, None, ),  # 5
 )
-all_structs.append(WorkerState)
-WorkerState.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'worker', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'rack', 'UTF8', None, ),  # 2
-    (3, TType.DOUBLE, 'cores', None, None, ),  # 3
-    (4, TType.DOUBLE, 'memory_gb', None, None, ),  # 4
-    (5, TType.I32, 'gpus', None, None, ),  # 5
-)
-all_structs.append(TaskState)
-TaskState.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'attempt', None, None, ),  # 2
-    (3, TType.I32, 'task', None, None, ),  # 3
-    (4, TType.STRING, 'phase', 'UTF8', None, ),  # 4
-    (5, TType.STRING, 'detail', 'UTF8', None, ),  # 5
-    (6, TType.DOUBLE, 'progress', None, None, ),  # 6
-    (7, TType.DOUBLE, 'cores_used', None, None, ),  # 7
-    (8, TType.DOUBLE, 'memory_used_gb', None, None, ),  # 8
-)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -3474,34 +2282,15 @@
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.STRING, 'data_centre', 'UTF8', None, ),  # 4
     (5, TType.LIST, 'targets', (TType.STRUCT, [TargetState, None], False), None, ),  # 5
-    (6, TType.STRUCT, 'worker', [WorkerState, None], None, ),  # 6
-    (7, TType.LIST, 'tasks', (TType.STRUCT, [TaskState, None], False), None, ),  # 7
-    (8, TType.I64, 'config_version', None, None, ),  # 8
-    (9, TType.I64, 'epoch', None, None, ),  # 9
-    (10, TType.STRING, 'config', 'UTF8', None, ),  # 10
-)
-all_structs.append(GangLease)
-GangLease.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'attempt', None, None, ),  # 2
-    (3, TType.I32, 'ttl_ms', None, None, ),  # 3
-)
-all_structs.append(AttemptId)
-AttemptId.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'attempt', None, None, ),  # 2
+    (6, TType.I64, 'config_version', None, None, ),  # 6
+    (7, TType.STRING, 'config', 'UTF8', None, ),  # 7
 )
 all_structs.append(HeartbeatReply)
 HeartbeatReply.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'entry', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'epoch', None, None, ),  # 2
-    (3, TType.LIST, 'leases', (TType.STRUCT, [GangLease, None], False), None, ),  # 3
-    (4, TType.LIST, 'forget', (TType.STRUCT, [AttemptId, None], False), None, ),  # 4
-    (5, TType.I64, 'config_version', None, None, ),  # 5
-    (6, TType.STRING, 'config', 'UTF8', None, ),  # 6
+    (2, TType.I64, 'config_version', None, None, ),  # 2
+    (3, TType.STRING, 'config', 'UTF8', None, ),  # 3
 )
 all_structs.append(Dispatch)
 Dispatch.thrift_spec = (
@@ -3546,61 +2335,6 @@
     (2, TType.STRING, 'runner', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
 )
-all_structs.append(TaskOrder)
-TaskOrder.thrift_spec = (
-    None,  # 0
-    (1, TType.I32, 'task', None, None, ),  # 1
-    (2, TType.I32, 'gpu_mask', None, None, ),  # 2
-    (3, TType.DOUBLE, 'cores', None, None, ),  # 3
-    (4, TType.DOUBLE, 'memory_gb', None, None, ),  # 4
-    (5, TType.STRING, 'payload', 'UTF8', None, ),  # 5
-    (6, TType.DOUBLE, 'progress', None, None, ),  # 6
-)
-all_structs.append(Reserve)
-Reserve.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'epoch', None, None, ),  # 1
-    (2, TType.STRING, 'job', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'attempt', None, None, ),  # 3
-    (4, TType.LIST, 'tasks', (TType.STRUCT, [TaskOrder, None], False), None, ),  # 4
-    (5, TType.I32, 'ttl_ms', None, None, ),  # 5
-)
-all_structs.append(Go)
-Go.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'epoch', None, None, ),  # 1
-    (2, TType.STRING, 'job', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'attempt', None, None, ),  # 3
-    (4, TType.I64, 'after_sequence', None, None, ),  # 4
-    (5, TType.I32, 'ttl_ms', None, None, ),  # 5
-)
-all_structs.append(Stop)
-Stop.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'epoch', None, None, ),  # 1
-    (2, TType.STRING, 'job', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'attempt', None, None, ),  # 3
-    (4, TType.I32, 'checkpoint_ms', None, None, ),  # 4
-)
-all_structs.append(Throttle)
-Throttle.thrift_spec = (
-    None,  # 0
-    (1, TType.I64, 'epoch', None, None, ),  # 1
-    (2, TType.STRING, 'job', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'attempt', None, None, ),  # 3
-    (4, TType.I32, 'task', None, None, ),  # 4
-)
-all_structs.append(TaskReport)
-TaskReport.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'side', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.I64, 'sequence', None, None, ),  # 3
-    (4, TType.BOOL, 'accepted', None, None, ),  # 4
-    (5, TType.STRING, 'detail', 'UTF8', None, ),  # 5
-    (6, TType.LIST, 'tasks', (TType.STRUCT, [TaskState, None], False), None, ),  # 6
-    (7, TType.I64, 'epoch', None, None, ),  # 7
-)
 all_structs.append(RunningRow)
 RunningRow.thrift_spec = (
     None,  # 0
@@ -3701,18 +2435,13 @@
     (2, TType.STRUCT, 'heartbeat_reply', [HeartbeatReply, None], None, ),  # 2
     (3, TType.STRUCT, 'dispatch', [Dispatch, None], None, ),  # 3
     (4, TType.STRUCT, 'dispatch_reply', [DispatchReply, None], None, ),  # 4
-    (5, TType.STRUCT, 'reserve', [Reserve, None], None, ),  # 5
-    (6, TType.STRUCT, 'go', [Go, None], None, ),  # 6
-    (7, TType.STRUCT, 'stop', [Stop, None], None, ),  # 7
-    (8, TType.STRUCT, 'throttle', [Throttle, None], None, ),  # 8
-    (9, TType.STRUCT, 'task_report', [TaskReport, None], None, ),  # 9
-    (10, TType.STRUCT, 'peer_error', [PeerError, None], None, ),  # 10
-    (11, TType.STRUCT, 'claim', [Claim, None], None, ),  # 11
-    (12, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 12
-    (13, TType.STRUCT, 'worker_report', [WorkerReport, None], None, ),  # 13
-    (14, TType.STRUCT, 'worker_reply', [WorkerReply, None], None, ),  # 14
-    (15, TType.STRUCT, 'worker_orders', [WorkerOrders, None], None, ),  # 15
-    (16, TType.STRUCT, 'orders_taken', [OrdersTaken, None], None, ),  # 16
+    (5, TType.STRUCT, 'peer_error', [PeerError, None], None, ),  # 5
+    (6, TType.STRUCT, 'claim', [Claim, None], None, ),  # 6
+    (7, TType.STRUCT, 'claim_reply', [ClaimReply, None], None, ),  # 7
+    (8, TType.STRUCT, 'worker_report', [WorkerReport, None], None, ),  # 8
+    (9, TType.STRUCT, 'worker_reply', [WorkerReply, None], None, ),  # 9
+    (10, TType.STRUCT, 'worker_orders', [WorkerOrders, None], None, ),  # 10
+    (11, TType.STRUCT, 'orders_taken', [OrdersTaken, None], None, ),  # 11
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -2,18 +2,12 @@
 
 Each class mirrors the struct of the same name in ``peer.thrift``; the codec
 in :mod:`kingcuplever.connection.frames` turns one into the other by name.
-Times are milliseconds, memory is gigabytes, accelerators are counted.
+Times are milliseconds, memory is megabytes, accelerators are counted.
 """
 
 from typing import Final
 from typing import NamedTuple
 
-RESERVED: Final = "reserved"
-RUNNING: Final = "running"
-DONE: Final = "done"
-FAILED: Final = "failed"
-STOPPED: Final = "stopped"
-
 ANSWERED: Final = "answered"
 NOT_RUN: Final = "not-run"
 UNKNOWN: Final = "unknown"
@@ -39,38 +33,10 @@
     draining: bool
 
 
-class WorkerState(NamedTuple):
-    """A worker's shape."""
-
-    worker: str
-    rack: str
-    cores: float
-    memory_gb: float
-    gpus: int
-
-
-class TaskState(NamedTuple):
-    """One task on one worker.
-
-    :ivar progress: seconds of work that a checkpoint holds.
-    """
-
-    job: str
-    attempt: int
-    task: int
-    phase: str
-    detail: str
-    progress: float
-    cores_used: float
-    memory_used_gb: float
-
-
 class Heartbeat(NamedTuple):
-    """What a side tells an entry about itself, its targets and its worker.
+    """What a side tells an entry about itself and its targets.
 
     :ivar incarnation: grows with every start of the side.
-    :ivar worker: absent until the side has heard from its worker.
-    :ivar epoch: highest scheduling epoch that the side has obeyed.
     :ivar config: the configuration document, if the entry's is older.
     """
 
@@ -79,45 +45,17 @@
     sequence: int
     data_centre: str
     targets: tuple[TargetState, ...]
-    worker: WorkerState | None
-    tasks: tuple[TaskState, ...]
     config_version: int
-    epoch: int
     config: str | None = None
 
 
-class GangLease(NamedTuple):
-    """Permission to run one attempt of a job.
-
-    :ivar ttl_ms: counted from the moment when the side sent the heartbeat
-        that this answers, so that a late reply prolongs nothing.
-    """
-
-    job: str
-    attempt: int
-    ttl_ms: int
-
-
-class AttemptId(NamedTuple):
-    """Names one attempt of a job."""
-
-    job: str
-    attempt: int
-
-
 class HeartbeatReply(NamedTuple):
     """What an entry tells a side.
 
-    :ivar epoch: epoch of the owner that grants the leases; 0 from an entry
-        that owns nothing.
-    :ivar forget: ended attempts that the side need not report any more.
     :ivar config: the configuration document, if the side's is older.
     """
 
     entry: str
-    epoch: int
-    leases: tuple[GangLease, ...]
-    forget: tuple[AttemptId, ...]
     config_version: int
     config: str | None
 
@@ -191,83 +129,6 @@
     incarnation: int
 
 
-class TaskOrder(NamedTuple):
-    """What one task of a gang needs on this worker.
-
-    :ivar gpu_mask: one bit for each accelerator that the task may use.
-    """
-
-    task: int
-    gpu_mask: int
-    cores: float
-    memory_gb: float
-    payload: str
-    progress: float
-
-
-class Reserve(NamedTuple):
-    """Asks a side to keep room for tasks of one attempt."""
-
-    epoch: int
-    job: str
-    attempt: int
-    tasks: tuple[TaskOrder, ...]
-    ttl_ms: int
-
-
-class Go(NamedTuple):
-    """Starts the reserved tasks of a committed attempt.
-
-    :ivar after_sequence: newest report that the owner has from the side.
-    :ivar ttl_ms: first lease, counted from the sending of that report, so
-        that an order that is late starts nothing.
-    """
-
-    epoch: int
-    job: str
-    attempt: int
-    after_sequence: int
-    ttl_ms: int
-
-
-class Stop(NamedTuple):
-    """Stops an attempt, or releases its reservation.
-
-    :ivar checkpoint_ms: how long a checkpoint may take; 0 for none.
-    """
-
-    epoch: int
-    job: str
-    attempt: int
-    checkpoint_ms: int
-
-
-class Throttle(NamedTuple):
-    """Holds a task to its declared cores."""
-
-    epoch: int
-    job: str
-    attempt: int
-    task: int
-
-
-class TaskReport(NamedTuple):
-    """A side's answer to an order, with all tasks that it holds.
-
-    :ivar sequence: drawn from the same row as the heartbeats', so that a
-        reader can tell the newer of two reports.
-    :ivar accepted: whether the order was carried out.
-    """
-
-    side: str
-    incarnation: int
-    sequence: int
-    accepted: bool
-    detail: str
-    tasks: tuple[TaskState, ...]
-    epoch: int
-
-
 class RunningRow(NamedTuple):
     """A task that a worker lists as running."""
 
@@ -387,11 +248,6 @@
     | HeartbeatReply
     | Dispatch
     | DispatchReply
-    | Reserve
-    | Go
-    | Stop
-    | Throttle
-    | TaskReport
     | PeerError
     | Claim
     | ClaimReply
--- a/kingcuplever/options.py
+++ b/kingcuplever/options.py
@@ -34,20 +34,19 @@
 
     :ivar heartbeat_ms: from a side to each of its entries.
     :ivar silence_ms: a side unheard for so long is taken as lost.
-    :ivar owner_lease_ms: an owner unheard on the log for so long may be
-        followed by another.
-    :ivar task_lease_ms: a task may run so long after its owner last heard
-        every member of its gang.
-    :ivar reserve_ms: bound of the reservation round.
+    :ivar task_lease_ms: lease that a worker is asked for; a task ends so
+        long after its side prolonged it last.
+    :ivar alone_ms: how long a side prolongs leases without an owner.
+    :ivar status_ms: how long an ended job can be asked for.
     :ivar key_horizon_ms: how long request keys are remembered.
     :ivar drain_ms: how long a stopping process waits for its requests.
     """
 
     heartbeat_ms: int = 1000
     silence_ms: int = 3500
-    owner_lease_ms: int = 3000
     task_lease_ms: int = 6000
-    reserve_ms: int = 2000
+    alone_ms: int = 4000
+    status_ms: int = 3_600_000
     key_horizon_ms: int = 600_000
     drain_ms: int = 15_000
 
@@ -58,28 +57,23 @@
     :ivar callers: listener for callers' HTTP.
     :ivar operators: listener for operators' HTTP.
     :ivar peers: listener for sides.
-    :ivar schedules: data centres whose scheduling lease it may hold, the
-        one that it prefers first.
     """
 
     data_centre: str
     callers: str
     operators: str
     peers: str
-    schedules: tuple[str, ...]
 
 
 class SideOptions(NamedTuple):
     """One side.
 
-    :ivar announcements: listener for the targets beside it.
+    :ivar announcements: listener for the targets and the worker beside it.
     :ivar worker: address of the worker beside it, if there is one.
-    :ivar rack: rack of that worker.
     """
 
     data_centre: str
     announcements: str
-    rack: str = ""
     worker: str = ""
 
 
@@ -130,7 +124,6 @@
     faults = [
         *_check_addresses(fleet),
         *_check_timing(fleet.timing),
-        *_check_places(fleet),
         *_check_tokens(fleet),
     ]
     if faults:
@@ -216,24 +209,6 @@
     return faults
 
 
-def _check_places(fleet: FleetOptions) -> list[plain.Fault]:
-    faults = []
-    scheduled = {
-        place for entry in fleet.entry.values() for place in entry.schedules
-    }
-    for name, side in fleet.side.items():
-        if side.worker and not side.rack:
-            faults.append(
-                plain.Fault(f"side.{name}.rack", "missing", "a rack's name")
-            )
-        if side.worker and side.data_centre not in scheduled:
-            allowed = "a data centre in the schedules of some entry"
-            value = repr(side.data_centre)
-            path = f"side.{name}.data_centre"
-            faults.append(plain.Fault(path, value, allowed))
-    return faults
-
-
 def _check_tokens(fleet: FleetOptions) -> list[plain.Fault]:
     return [
         plain.Fault(
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -9,32 +9,14 @@
   5: bool draining
 }
 
-struct WorkerState {
-  1: string worker, 2: string rack, 3: double cores, 4: double memory_gb,
-  5: i32 gpus
-}
-
-struct TaskState {
-  1: string job, 2: i32 attempt, 3: i32 task, 4: string phase,
-  5: string detail, 6: double progress, 7: double cores_used,
-  8: double memory_used_gb
-}
-
 struct Heartbeat {
   1: string side, 2: i64 incarnation, 3: i64 sequence,
   4: string data_centre, 5: list<TargetState> targets,
-  6: optional WorkerState worker, 7: list<TaskState> tasks,
-  8: i64 config_version, 9: i64 epoch, 10: optional string config
+  6: i64 config_version, 7: optional string config
 }
 
-struct GangLease { 1: string job, 2: i32 attempt, 3: i32 ttl_ms }
-
-struct AttemptId { 1: string job, 2: i32 attempt }
-
 struct HeartbeatReply {
-  1: string entry, 2: i64 epoch, 3: list<GangLease> leases,
-  4: list<AttemptId> forget, 5: i64 config_version,
-  6: optional string config
+  1: string entry, 2: i64 config_version, 3: optional string config
 }
 
 struct Dispatch {
@@ -58,34 +40,6 @@
   1: bool granted, 2: string runner, 3: i64 incarnation
 }
 
-struct TaskOrder {
-  1: i32 task, 2: i32 gpu_mask, 3: double cores, 4: double memory_gb,
-  5: string payload, 6: double progress
-}
-
-struct Reserve {
-  1: i64 epoch, 2: string job, 3: i32 attempt, 4: list<TaskOrder> tasks,
-  5: i32 ttl_ms
-}
-
-struct Go {
-  1: i64 epoch, 2: string job, 3: i32 attempt, 4: i64 after_sequence,
-  5: i32 ttl_ms
-}
-
-struct Stop {
-  1: i64 epoch, 2: string job, 3: i32 attempt, 4: i32 checkpoint_ms
-}
-
-struct Throttle {
-  1: i64 epoch, 2: string job, 3: i32 attempt, 4: i32 task
-}
-
-struct TaskReport {
-  1: string side, 2: i64 incarnation, 3: i64 sequence, 4: bool accepted,
-  5: string detail, 6: list<TaskState> tasks, 7: i64 epoch
-}
-
 struct RunningRow {
   1: string task, 2: i32 run, 3: string saved, 4: i32 percent, 5: i64 usage
 }
@@ -128,11 +82,9 @@
 union Body {
   1: Heartbeat heartbeat, 2: HeartbeatReply heartbeat_reply,
   3: Dispatch dispatch, 4: DispatchReply dispatch_reply,
-  5: Reserve reserve, 6: Go go, 7: Stop stop, 8: Throttle throttle,
-  9: TaskReport task_report, 10: PeerError peer_error, 11: Claim claim,
-  12: ClaimReply claim_reply, 13: WorkerReport worker_report,
-  14: WorkerReply worker_reply, 15: WorkerOrders worker_orders,
-  16: OrdersTaken orders_taken
+  5: PeerError peer_error, 6: Claim claim, 7: ClaimReply claim_reply,
+  8: WorkerReport worker_report, 9: WorkerReply worker_reply,
+  10: WorkerOrders worker_orders, 11: OrdersTaken orders_taken
 }
 
 struct Frame { 1: i64 id, 2: bool reply, 3: Body body }
--- /dev/null
+++ b/kingcuplever/platform/clients.py
@@ -0,0 +1,12 @@
+"""The adapter's clients, as the product's processes take them."""
+
+from typing import Final
+
+from kingcuplever.platform import executor
+from kingcuplever.platform import registry
+from kingcuplever.platform import store
+from kingcuplever.process import platform_clients
+
+CLIENTS: Final = platform_clients.PlatformClients(
+    store.Store, executor.Executor, registry.make_handler
+)
--- a/kingcuplever/platform/front.py
+++ b/kingcuplever/platform/front.py
@@ -1,11 +1,11 @@
 """What callers of jobs speak, translated to the job desk and back."""
 
 import re
-import time
 from typing import Final
 
 import trio
 
+from kingcuplever import clock
 from kingcuplever.connection import http_server
 from kingcuplever import errors
 from kingcuplever import logs
@@ -121,7 +121,7 @@
                 http_server.parse_json(request.body),
                 known.policy.queues[route.queue],
                 account,
-                time.time_ns() // 1_000_000,
+                clock.wall_ms(),
             )
             await self._desk.submit(job, spec, timeout_s)
             return http_server.json_response({})
--- /dev/null
+++ b/kingcuplever/platform/registry.py
@@ -0,0 +1,36 @@
+"""The registrations of the executor beside a side."""
+
+from typing import Final
+
+import trio
+
+from kingcuplever.connection import http_server
+from kingcuplever import errors
+from kingcuplever.platform import executor
+from kingcuplever.process import worker_agent
+
+PATH: Final = "/instances/"
+
+
+def make_handler(agent: worker_agent.WorkerAgent) -> http_server.Handler:
+    """Make the handler of the worker's registrations."""
+
+    async def handle(
+        request: http_server.HttpRequest,
+    ) -> http_server.HttpResponse:
+        life = request.path.removeprefix(PATH)
+        if not life or life == request.path:
+            raise errors.KingcupleverError(
+                f"There is no {request.path} here.", errors.Code.NOT_FOUND
+            )
+        if request.method == "PUT":
+            document = http_server.parse_json(request.body)
+            now = trio.current_time()
+            agent.registered(executor.decode_registration(life, document, now))
+        elif request.method == "DELETE":
+            agent.left(life)
+        else:
+            raise errors.InvalidRequest(f"No {request.method} here.")
+        return http_server.json_response({})
+
+    return handle
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -16,6 +16,7 @@
 from kingcuplever.platform import executor
 from kingcuplever.platform import front
 from kingcuplever.platform import queues
+from kingcuplever.platform import registry
 from kingcuplever.platform import settings
 from kingcuplever.platform import store
 from kingcuplever.process import job_desk
@@ -32,8 +33,7 @@
 from kingcuplever.process import worker_agent
 from kingcuplever.version import job_queues
 
-# The operator's records and the owner's announcements are few; they are
-# read as soon as they come.
+# The operator's records are few; they are read as soon as they come.
 _RARE_PACE_S: Final = 0.02
 # The balancer leaves a host alone after two failed probes, a second apart.
 _LEAVE_S: Final = 2.5
@@ -136,6 +136,7 @@
                 follower.run,
                 operator.run,
                 appender.run,
+                owner.listen,
                 owner.run,
             ):
                 nursery.start_soon(task)
@@ -221,9 +222,9 @@
             store.Store(log_client),
             owner_link.TOPIC,
             sink,
-            _RARE_PACE_S,
+            owner_link.PACE_S,
             metrics,
-            _SIDE_POLL_MS,
+            owner_link.POLL_MS,
         )
         link = owner_link.OwnerLink(sink, agent)
         stop = trio.Event()
@@ -233,39 +234,12 @@
                 nursery.start_soon(task)
             await nursery.start(_serve_metrics, host, metrics)
             await nursery.start(
-                http_server.serve, host.registry, _registry(agent), stop
+                http_server.serve,
+                host.registry,
+                registry.make_handler(agent),
+                stop,
             )
             logs.info(logs.Part.PROCESS, f"Side {host.name} runs.")
             await signals.wait_for_stop()
             logs.info(logs.Part.PROCESS, f"Side {host.name} ends.")
             nursery.cancel_scope.cancel()
-
-
-# Sides are many and owners change rarely; a silent connection hides a new
-# owner for this long at most.
-_SIDE_POLL_MS: Final = 4000
-_INSTANCES: Final = "/instances/"
-
-
-def _registry(agent: worker_agent.WorkerAgent) -> http_server.Handler:
-    """Make the handler of the worker's registrations."""
-
-    async def handle(
-        request: http_server.HttpRequest,
-    ) -> http_server.HttpResponse:
-        life = request.path.removeprefix(_INSTANCES)
-        if not life or life == request.path:
-            raise errors.KingcupleverError(
-                f"There is no {request.path} here.", errors.Code.NOT_FOUND
-            )
-        if request.method == "PUT":
-            document = http_server.parse_json(request.body)
-            now = trio.current_time()
-            agent.registered(executor.decode_registration(life, document, now))
-        elif request.method == "DELETE":
-            agent.left(life)
-        else:
-            raise errors.InvalidRequest(f"No {request.method} here.")
-        return http_server.json_response({})
-
-    return handle
--- a/kingcuplever/process/entry.py
+++ b/kingcuplever/process/entry.py
@@ -1,8 +1,8 @@
 """The entry process: callers, operators and sides meet here.
 
-It owns the listeners, the router, the configuration and one task for each
-data centre that it may schedule.  It keeps nothing: all that must last is
-on the log.
+It owns the listeners, the router, the configuration and its part in the
+ownership of the scheduling.  It keeps nothing: all that must last is on the
+log.
 """
 
 import contextlib
@@ -12,23 +12,35 @@
 
 from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
-from kingcuplever.connection import log_service
+from kingcuplever.connection import keyed_log
 from kingcuplever.connection import peer as peers
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever import options
-from kingcuplever.process import config_task
-from kingcuplever.process import data_centre
+from kingcuplever.process import config_holder
+from kingcuplever.process import job_metrics
+from kingcuplever.process import job_owner
+from kingcuplever.process import leases
 from kingcuplever.process import limits
 from kingcuplever.process import members
 from kingcuplever.process import metrics
+from kingcuplever.process import platform_clients
 from kingcuplever.process import router_task
+from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import scheduler as schedulers
 from kingcuplever.process import signals
+from kingcuplever.process.stored import following
+from kingcuplever.process.stored import intent_board
+from kingcuplever.process.stored import job_board
+from kingcuplever.process.stored import job_records
 from kingcuplever.request import caller
 from kingcuplever.request import operator
+from kingcuplever.request import relay
 
 _CHECK_S: Final = 0.1
+# Every host that takes part in a fleet of the settings is strong enough.
+_STRENGTH: Final = 1.0
 
 
 class Entry:
@@ -38,11 +50,13 @@
         self,
         fleet: options.FleetOptions,
         name: str,
-        log: log_service.LogService,
+        log: keyed_log.KeyedLog,
+        stack: contextlib.AsyncExitStack,
         nursery: trio.Nursery,
     ) -> None:
         """Make the parts; nothing listens yet.
 
+        :param stack: owns the HTTP clients.
         :param nursery: lives as long as the process.
         """
         self._fleet = fleet
@@ -51,41 +65,68 @@
         self._nursery = nursery
         self._sides = members.Members()
         self._metrics = metrics.EntryMetrics()
+        job_measures = job_metrics.JobMetrics(self._metrics.registry)
         self._router = router_task.RouterTask(self._options.data_centre)
         self._limits = limits.AccountLimits(len(fleet.entry))
-        self._config = config_task.ConfigTask(name, log, self._use_config)
-        self._data_centres = {
-            place: data_centre.DataCentre(
-                name,
-                place,
-                _rank(fleet, name, place),
-                fleet,
-                log,
-                self._sides,
-                self._metrics,
-            )
-            for place in self._options.schedules
-        }
+        self._config = config_holder.ConfigHolder(self._use_config)
+        self._new_config = trio.Event()
+        self._board = job_board.JobBoard()
+        self._follower = following.Follower(
+            log,
+            job_records.TOPIC,
+            self._board,
+            job_owner.FOLLOWER_PACE_S,
+            job_measures,
+        )
+        timing = fleet.timing
+        self._owner = job_owner.JobOwner(
+            name,
+            self._options.peers,
+            _STRENGTH,
+            log,
+            self._follower,
+            self._board,
+            schedulers.Timing(
+                leases.lost_after_s(
+                    timing.task_lease_ms / 1000, timing.alone_ms / 1000
+                ),
+                timing.status_ms / 1000,
+            ),
+            job_measures,
+            use_intents=self._use_intents,
+        )
+        self._use_intents(self._board.intents)
         self._callers = caller.CallerDesk(
             self._router, self._sides, self._limits, self._metrics
         )
+        others = {
+            other: entry.operators
+            for other, entry in fleet.entry.items()
+            if other != name
+        }
         self._operators = operator.OperatorDesk(
             fleet.operator_tokens,
-            self._data_centres,
+            self._owner,
+            self._board,
+            self._follower,
             self._config,
             self._router,
             self._sides,
             self._metrics,
             log,
+            relay.Relay(others, stack),
         )
 
     async def run(self) -> None:
         """Serve until SIGTERM, then drain."""
         nursery = self._nursery
-        nursery.start_soon(self._config.run)
-        nursery.start_soon(self._router.run)
-        for place in self._data_centres.values():
-            nursery.start_soon(place.run)
+        for task in (
+            self._router.run,
+            self._spread_config,
+            self._follower.run,
+            self._owner.run,
+        ):
+            nursery.start_soon(task)
         await self._listen_peers()
         stop = trio.Event()
         async with trio.open_nursery() as listeners:
@@ -106,6 +147,7 @@
             await signals.wait_for_stop()
             self._callers.draining = True
             logs.info(logs.Part.PROCESS, f"Entry {self._name} drains.")
+            await self._owner.resign()
             # The listeners close at once and finish what is in progress.
             stop.set()
         left = self._callers.in_progress
@@ -129,6 +171,7 @@
             text = f"A side's connection broke: {group.exceptions[0]}"
             logs.warn(logs.Part.MEMBER, text)
         finally:
+            self._owner.links.lost(peer)
             side = self._sides.lost(peer)
             if side:
                 logs.warn(logs.Part.MEMBER, f"Side {side} is gone.")
@@ -138,8 +181,12 @@
     async def _serve(
         self, peer: peers.Peer, message: messages.Message
     ) -> messages.Message:
+        if isinstance(message, messages.WorkerReport):
+            return await self._owner.links.take(peer, message)
         if not isinstance(message, messages.Heartbeat):
-            raise errors.InvalidRequest("An entry takes heartbeats only.")
+            raise errors.InvalidRequest(
+                "An entry takes heartbeats and reports only."
+            )
         now = trio.current_time()
         if self._sides.heard(peer, message, now):
             text = f"Side {message.side} is linked, {message.incarnation}."
@@ -147,15 +194,8 @@
         await self._router.heard(message)
         if message.config is not None:
             self._config.offer(message.config_version, message.config)
-        granted = data_centre.Granted(0, (), ())
-        place = self._data_centres.get(message.data_centre)
-        if place is not None and message.worker is not None:
-            granted = await place.heartbeat(message)
         return messages.HeartbeatReply(
             self._name,
-            granted.epoch,
-            granted.leases,
-            granted.forget,
             self._config.version.number,
             self._config.text_for(message.config_version),
         )
@@ -171,15 +211,41 @@
                 logs.warn(logs.Part.MEMBER, text)
                 await link.peer.close()
 
-    async def _use_config(self, version: config_task.Version) -> None:
+    def _use_intents(self, stated: intent_board.IntentBoard) -> None:
+        """Use what operators stated, as the log has it."""
+        self._config.take(stated.config.version, stated.config.document)
+        scheduling = self._config.version.config.scheduling
+        # Version 0 would say that nothing is known yet.
+        self._owner.set_policy(
+            model.Policy(
+                1 + stated.version,
+                {},
+                {},
+                tuple(stated.accounts.values()),
+                scheduling.starvation_s,
+                scheduling.worker_failures,
+                scheduling.probation_s,
+            )
+        )
+
+    def _use_config(self, version: config_holder.Version) -> None:
         self._metrics.config_version.set(version.number)
         self._limits.set_config(version.config)
-        await self._router.set_config(version.config)
-        for place in self._data_centres.values():
-            await place.set_config(version.config.scheduling)
+        self._new_config.set()
+
+    async def _spread_config(self) -> None:
+        """Hand each new configuration to the router."""
+        while True:
+            await self._new_config.wait()
+            self._new_config = trio.Event()
+            await self._router.set_config(self._config.version.config)
 
 
-async def run(fleet: options.FleetOptions, name: str) -> None:
+async def run(
+    fleet: options.FleetOptions,
+    name: str,
+    clients: platform_clients.PlatformClients,
+) -> None:
     """Run an entry until SIGTERM.
 
     :param name: the entry's part of the settings.
@@ -190,21 +256,7 @@
                 fleet.log.address, fleet.log.timeout_ms / 1000
             )
         )
-        log = log_service.HttpLogService(client)
+        log = clients.make_log(client)
         async with trio.open_nursery() as nursery:
-            entry = Entry(fleet, name, log, nursery)
+            entry = Entry(fleet, name, log, stack, nursery)
             await entry.run()
-
-
-def _rank(fleet: options.FleetOptions, name: str, place: str) -> int:
-    """Count the entries that should own a data centre before this one."""
-    entries = sorted(
-        (
-            entry.schedules.index(place),
-            entry.data_centre != place,
-            other,
-        )
-        for other, entry in fleet.entry.items()
-        if place in entry.schedules
-    )
-    return [other for _, _, other in entries].index(name)
--- a/kingcuplever/process/evidence.py
+++ b/kingcuplever/process/evidence.py
@@ -1,29 +1,36 @@
-"""Replays records and says for each promise: kept, broken or not provable.
+"""Replays evidence and says for each promise: kept, broken or not provable.
 
-Works on the records alone, with the same replay as the entries but without
-their decisions, so that a decider's mistake shows as a broken promise.
+Works on the batches alone and knows nothing of how decisions are made, so
+that a decider's mistake shows as a broken promise.
 """
 
 from collections.abc import Iterable
+from typing import Final
 from typing import Literal
 from typing import NamedTuple
 
-from kingcuplever.process import replay
-from kingcuplever.process import state
-from kingcuplever import records
-from kingcuplever import shapes
+from kingcuplever import plain
+from kingcuplever.process import planner
+from kingcuplever.process.stored import evidence_records
 
 Verdict = Literal["kept", "broken", "not provable"]
 
-# A record's time comes from its writer's clock; clocks differ by so much.
-_CLOCK_SLACK_MS = 1000
+# The owner's time of day; the next owner's clock differs by so much.
+_CLOCK_SLACK_MS: Final = 1000
+
+GUARANTEE: Final = "guaranteed shapes can be reclaimed"
+GANG: Final = "no part of a gang runs without the rest"
+ONCE: Final = "no work runs twice at once, or again after its end"
+CONFIRMED: Final = "nothing changes before a confirmation"
+OWNED: Final = "one owner decides per epoch"
+WHOLE: Final = "the records are all there and unchanged"
+CONFIG: Final = "an accepted configuration never reverts"
 
 
 class Finding(NamedTuple):
-    """One thing that breaks a promise, with the record that shows it."""
+    """One thing that breaks a promise, with the batch that shows it."""
 
-    stream: str
-    offset: int
+    number: int
     text: str
 
 
@@ -41,14 +48,6 @@
     missing: str
 
 
-class Entry(NamedTuple):
-    """A record with its place; ``record`` is absent if it can't be read."""
-
-    offset: int
-    text: str
-    record: records.Record | None
-
-
 class _Case:
     """Cases and findings of one promise."""
 
@@ -56,269 +55,278 @@
         self.promise = promise
         self.checked = 0
         self.findings: list[Finding] = []
-        self.missing = ""
 
     def judge(self) -> Judgement:
-        verdict: Verdict = "kept"
-        if not self.checked and not self.missing:
-            self.missing = "no case of it in the records"
-        if self.missing:
-            verdict = "not provable"
+        verdict: Verdict = "kept" if self.checked else "not provable"
+        missing = "" if self.checked else "no case of it in the records"
         if self.findings:
             verdict = "broken"
         return Judgement(
-            self.promise,
-            verdict,
-            self.checked,
-            tuple(self.findings),
-            self.missing,
+            self.promise, verdict, self.checked, tuple(self.findings), missing
         )
 
 
-GUARANTEE = "guaranteed shapes can be reclaimed"
-GANG = "no part of a gang runs without the rest"
-CONFIRMED = "nothing changes before a confirmation"
-OWNED = "one owner decides per epoch"
-WHOLE = "the records are all there and unchanged"
-CONFIG = "an accepted configuration never reverts"
+class _Wait(NamedTuple):
+    """A reclaim whose group has no place yet."""
+
+    number: int
+    begun_ms: int
 
 
-def judge_data_centre(
-    stream: str,
-    entries: Iterable[Entry],
-    start: state.Schedule,
-    reclaim_ms: int,
-    until_ms: int,
+def judge(
+    values: Iterable[bytes], reclaim_ms: int, until_ms: int
 ) -> list[Judgement]:
-    """Judge the records of one data centre's stream.
+    """Judge all batches that are kept.
 
-    :param start: the state before the first of them.
+    :param values: the batches as they lie on the log, in any order.
     :param reclaim_ms: bound on a reclaim, from the configuration.
-    :param until_ms: wall clock of the judgement.
+    :param until_ms: time of day of the judgement.
     """
-    judge = _Judge(stream, start, reclaim_ms)
-    for entry in entries:
-        judge.take(entry)
-    return judge.finish(until_ms)
-
-
-def judge_config(stream: str, entries: Iterable[Entry]) -> Judgement:
-    """Judge the configuration's stream."""
-    case = _Case(CONFIG)
-    plans: dict[str, records.Plan] = {}
-    accepted: set[str] = set()
-    version = 0
-    for entry in entries:
-        if entry.record is None:
-            continue
-        body = entry.record.body
-        if isinstance(body, records.Plan):
-            plans.setdefault(body.plan, body)
-        if not isinstance(body, records.Confirmation):
+    judged = _Judge(reclaim_ms)
+    readable: list[tuple[evidence_records.Batch, str]] = []
+    for value in values:
+        try:
+            batch = evidence_records.read(value)
+        except plain.FaultyValue as error:
+            judged.note_unreadable(str(error))
             continue
-        plan = plans.get(body.plan)
-        if plan is None or plan.refusal or body.plan in accepted:
-            continue
-        if plan.base_version != version:
-            continue
-        case.checked += 1
-        accepted.add(body.plan)
-        if entry.offset + 1 <= version:
-            text = f"version {entry.offset + 1} follows {version}"
-            case.findings.append(Finding(stream, entry.offset, text))
-        version = entry.offset + 1
-    return case.judge()
+        readable.append((batch, evidence_records.digest_of(value)))
+    readable.sort(key=lambda item: item[0].number)
+    for batch, digest in readable:
+        judged.take(batch, digest)
+    return judged.finish(until_ms)
 
 
 class _Judge:
-    """One pass over the records of a data centre."""
+    """One pass over the batches, by number."""
 
-    def __init__(
-        self, stream: str, start: state.Schedule, reclaim_ms: int
-    ) -> None:
-        self._stream = stream
-        self._schedule = start
+    def __init__(self, reclaim_ms: int) -> None:
         self._reclaim_ms = reclaim_ms
-        self._guarantee = _Case(GUARANTEE)
-        self._gang = _Case(GANG)
-        self._confirmed = _Case(CONFIRMED)
-        self._owned = _Case(OWNED)
-        self._whole = _Case(WHOLE)
-        self._digests = {start.offset: start.digest}
-        self._reclaims: dict[tuple[str, int], tuple[int, int]] = {}
-        self._stopping: dict[tuple[str, int], int] = {}
-        self._short: dict[str, int] = {}
-
-    def take(self, entry: Entry) -> None:
-        self._check_offset(entry.offset)
-        if entry.record is None:
-            replay.skip(self._schedule, entry.offset, entry.text)
-            self._note_digest()
-            return
-        record = entry.record
-        self._check_before(entry.offset, record)
-        counted = replay.apply(
-            self._schedule, entry.offset, record, entry.text
-        )
-        self._note_digest()
-        if isinstance(record.body, records.Snapshot):
-            self._check_digest(entry.offset, record.body)
-        if counted:
-            self._check_after(entry.offset, record)
-
-    def finish(self, until_ms: int) -> list[Judgement]:
-        for key, (offset, begun_ms) in self._reclaims.items():
-            self._check_reclaim(key, offset, until_ms - begun_ms)
-        return [
-            case.judge()
-            for case in (
-                self._guarantee,
-                self._gang,
-                self._confirmed,
-                self._owned,
-                self._whole,
+        self._cases = {
+            promise: _Case(promise)
+            for promise in (
+                GUARANTEE,
+                GANG,
+                ONCE,
+                CONFIRMED,
+                OWNED,
+                WHOLE,
+                CONFIG,
             )
-        ]
-
-    def _note_digest(self) -> None:
-        self._digests[self._schedule.offset] = self._schedule.digest
+        }
+        self._number = 0
+        self._epoch = 0
+        self._digests: dict[int, str] = {}
+        self._gpus: dict[str, int] = {}
+        self._placed: dict[str, evidence_records.Placed] = {}
+        self._runs: dict[str, int] = {}
+        self._done: set[str] = set()
+        self._waits: dict[str, _Wait] = {}
+        self._bound: dict[tuple[str, str], evidence_records.Bound] = {}
+        self._taken: dict[str, tuple[int, evidence_records.Taken]] = {}
+        self._decided: dict[str, evidence_records.Decided] = {}
+        self._config_version = 0
+        self._owners: set[int] = set()
+
+    def note_unreadable(self, text: str) -> None:
+        """A batch can't be read."""
+        self._cases[WHOLE].findings.append(Finding(0, text))
+
+    def take(self, batch: evidence_records.Batch, digest: str) -> None:
+        """Replay one batch."""
+        self._check_chain(batch)
+        self._number = batch.number
+        self._epoch = batch.epoch
+        self._digests[batch.number] = digest
+        for row in batch.rows:
+            self._take_row(row)
 
-    def _check_offset(self, offset: int) -> None:
-        """Check that no record is missing before this one."""
-        if offset > self._schedule.offset:
-            text = f"records {self._schedule.offset} to {offset - 1} are gone"
-            self._whole.findings.append(Finding(self._stream, offset, text))
-
-    def _check_digest(self, offset: int, body: records.Snapshot) -> None:
-        """Compare the chain so far with what a snapshot carries forward."""
-        own = self._digests.get(body.offset)
-        if own is None:
-            return
-        self._whole.checked += 1
-        if body.state.get("digest") != own:
-            text = f"a record before {body.offset} was changed"
-            self._whole.findings.append(Finding(self._stream, offset, text))
-
-    def _check_before(self, offset: int, record: records.Record) -> None:
-        body = record.body
-        if isinstance(body, records.Commit):
-            self._check_commit(offset, record, body)
-
-    def _check_commit(
-        self, offset: int, record: records.Record, body: records.Commit
-    ) -> None:
-        """Check a commit that counts: whole, confirmed, on free room."""
-        schedule = self._schedule
-        if record.epoch != schedule.epoch or record.writer != schedule.owner:
-            # Left out by every reader; shown so that a regulator sees it.
-            self._owned.checked += 1
+    def finish(self, until_ms: int) -> list[Judgement]:
+        """Judge what is still open; give all judgements."""
+        for group in [*self._waits]:
+            self._end_wait(group, until_ms)
+        self._check_taken()
+        return [case.judge() for case in self._cases.values()]
+
+    def _find(self, promise: str, text: str, number: int = 0) -> None:
+        finding = Finding(number or self._number, text)
+        self._cases[promise].findings.append(finding)
+
+    def _check_chain(self, batch: evidence_records.Batch) -> None:
+        """Check that a batch follows what its epoch wrote before."""
+        self._cases[WHOLE].checked += 1
+        number = batch.number
+        if batch.epoch < self._epoch:
+            text = f"batch {number} is of the older epoch {batch.epoch}"
+            self._find(WHOLE, text, number)
+        if batch.epoch != self._epoch:
+            if batch.after and len(self._digests):
+                text = f"the batches before {number} of its epoch are gone"
+                self._find(WHOLE, text, number)
             return
-        job = schedule.jobs.get(body.job)
-        self._confirmed.checked += 1
-        if job is None:
-            text = f"{body.job} was placed without a confirmed intent"
-            self._confirmed.findings.append(
-                Finding(self._stream, offset, text)
+        if number != self._number + 1:
+            text = f"batches {self._number + 1} to {number - 1} are gone"
+            self._find(WHOLE, text, number)
+        elif batch.after != self._digests[self._number]:
+            text = f"batch {self._number} or {number} was changed"
+            self._find(WHOLE, text, number)
+
+    def _take_row(self, row: evidence_records.Row) -> None:
+        body = row.body
+        if isinstance(body, evidence_records.Claimed):
+            self._take_claim(body)
+        elif isinstance(body, evidence_records.WorkerSeen):
+            self._gpus[body.worker] = body.gpus
+        elif isinstance(body, evidence_records.Bound):
+            self._take_bound(body)
+        elif isinstance(body, evidence_records.Decided):
+            self._take_decided(body)
+        elif isinstance(body, evidence_records.Taken):
+            self._taken.setdefault(body.job, (self._number, body))
+        elif isinstance(body, evidence_records.Placed):
+            self._take_placed(body, row.at_ms)
+        elif isinstance(body, evidence_records.Reclaimed):
+            if body.entitled:
+                self._waits[body.group] = _Wait(self._number, row.at_ms)
+        elif isinstance(body, evidence_records.Vacated):
+            self._take_vacated(body)
+        else:
+            self._take_over(body)
+
+    def _take_claim(self, body: evidence_records.Claimed) -> None:
+        """A new owner: what it takes over it states itself."""
+        self._cases[OWNED].checked += 1
+        if body.epoch != self._epoch or body.epoch in self._owners:
+            text = f"{body.entry} claims epoch {body.epoch} a second time"
+            self._find(OWNED, text)
+        self._owners.add(body.epoch)
+        before = evidence_records.parse_head(body.before)
+        known = self._digests.get(before.number)
+        oldest = min(self._digests)
+        if known is not None and known != before.digest:
+            text = (
+                f"batch {before.number} is not the one that {body.entry} saw"
             )
-            return
-        self._gang.checked += 1
-        if len(body.slots) != job.spec.tasks:
+            self._find(WHOLE, text)
+        if known is None and before.number >= oldest:
+            self._find(WHOLE, f"batch {before.number} is gone")
+        self._placed.clear()
+        self._waits.clear()
+        self._bound.clear()
+
+    def _take_bound(self, body: evidence_records.Bound) -> None:
+        """Check that the cells kept for all accounts fit their workers."""
+        self._cases[GUARANTEE].checked += 1
+        self._bound[body.account, body.data_centre] = body
+        if body.missing:
             text = (
-                f"{body.job}#{body.attempt} has {len(body.slots)} of"
-                f" {job.spec.tasks} members"
+                f"{body.account} is short of {body.missing} guaranteed cells"
+                f" in {body.data_centre}"
             )
-            self._gang.findings.append(Finding(self._stream, offset, text))
-        if job.phase == "queued":
-            self._check_room(offset, body)
-
-    def _check_room(self, offset: int, body: records.Commit) -> None:
-        for slot in body.slots:
-            room = self._schedule.ledger.workers.get(slot.worker)
-            if room is None:
-                text = f"{body.job} was placed on unknown {slot.worker}"
-                self._gang.findings.append(Finding(self._stream, offset, text))
-            elif room.used_mask & slot.gpu_mask:
+            self._find(GUARANTEE, text)
+        promised: dict[str, int] = {}
+        for bound in self._bound.values():
+            for worker, gpus in zip(bound.workers, bound.gpus, strict=False):
+                promised[worker] = promised.get(worker, 0) + gpus
+        for worker in dict.fromkeys(body.workers):
+            if promised[worker] > self._gpus.get(worker, 0):
                 text = (
-                    f"{body.job} was placed on accelerators in use on"
-                    f" {slot.worker}"
+                    f"{promised[worker]} accelerators of {worker} are promised"
                 )
-                self._gang.findings.append(Finding(self._stream, offset, text))
-
-    def _check_after(self, offset: int, record: records.Record) -> None:
-        body = record.body
-        if isinstance(body, records.Claim):
-            self._owned.checked += 1
-        elif isinstance(body, records.Vacate):
-            self._note_vacate(offset, record, body)
-        elif isinstance(body, records.Ended):
-            self._note_end(record, body)
-        elif isinstance(body, records.Confirmation | records.WorkerChange):
-            self._check_guarantees(offset)
-        elif isinstance(body, records.Commit) and body.rebinds:
-            self._check_guarantees(offset)
-
-    def _note_vacate(
-        self, offset: int, record: records.Record, body: records.Vacate
-    ) -> None:
-        key = (body.job, body.attempt)
-        self._stopping[key] = offset
-        if body.reason == "reclaim":
-            self._guarantee.checked += 1
-            self._reclaims[key] = (offset, record.time_ms)
-
-    def _note_end(self, record: records.Record, body: records.Ended) -> None:
-        key = (body.job, body.attempt)
-        self._stopping.pop(key, None)
-        begun = self._reclaims.pop(key, None)
-        if begun is not None:
-            offset, begun_ms = begun
-            self._check_reclaim(key, offset, record.time_ms - begun_ms)
-
-    def _check_reclaim(
-        self, key: tuple[str, int], offset: int, took_ms: int
-    ) -> None:
-        if took_ms <= self._reclaim_ms + _CLOCK_SLACK_MS:
+                self._find(GUARANTEE, text)
+
+    def _take_decided(self, body: evidence_records.Decided) -> None:
+        if body.plan in self._decided:
+            return
+        self._decided[body.plan] = body
+        self._cases[CONFIRMED].checked += 1
+        if body.kind != "config":
             return
-        text = (
-            f"the reclaim from {key[0]}#{key[1]} took {took_ms} ms of"
-            f" {self._reclaim_ms}"
+        self._cases[CONFIG].checked += 1
+        if body.version <= self._config_version:
+            text = f"version {body.version} follows {self._config_version}"
+            self._find(CONFIG, text)
+        self._config_version = body.version
+
+    def _take_placed(self, body: evidence_records.Placed, at_ms: int) -> None:
+        group = body.group
+        if body.waited_ms != evidence_records.ADOPTED:
+            self._check_gang(body)
+            self._check_once(body)
+        self._runs[group] = max(body.run, self._runs.get(group, 0))
+        self._placed[group] = body
+        for worker in dict.fromkeys(body.workers):
+            if worker in self._gpus and body.gpus:
+                self._check_room(worker, body)
+        self._end_wait(group, at_ms)
+
+    def _check_gang(self, body: evidence_records.Placed) -> None:
+        self._cases[GANG].checked += 1
+        if len(body.workers) != body.tasks or not all(body.workers):
+            there = sum(bool(worker) for worker in body.workers)
+            text = (
+                f"{body.group}, run {body.run}, has {there} of"
+                f" {body.tasks} members"
+            )
+            self._find(GANG, text)
+
+    def _check_once(self, body: evidence_records.Placed) -> None:
+        self._cases[ONCE].checked += 1
+        before = self._placed.get(body.group)
+        if before is not None:
+            text = f"{body.group}, run {body.run}, begins beside {before.run}"
+            self._find(ONCE, text)
+        if body.run <= self._runs.get(body.group, 0):
+            self._find(ONCE, f"{body.group} has run {body.run} twice")
+        if body.group in self._done:
+            self._find(ONCE, f"{body.group} runs again after its end")
+
+    def _check_room(self, worker: str, body: evidence_records.Placed) -> None:
+        """Check that a worker's accelerators are not given out twice."""
+        used = sum(
+            placed.gpus * placed.workers.count(worker)
+            for placed in self._placed.values()
         )
-        self._guarantee.findings.append(Finding(self._stream, offset, text))
-
-    def _check_guarantees(self, offset: int) -> None:
-        """Check that bound cells are sound, disjoint and complete."""
-        taken: dict[str, int] = {}
-        for name, account in self._schedule.accounts.items():
-            self._guarantee.checked += 1
-            missing = 0
-            for bound in account.bound:
-                missing += bound.missing
-                for cell in bound.cells:
-                    self._check_cell(offset, name, cell, taken)
-            self._note_shortfall(offset, name, missing)
-
-    def _check_cell(
-        self,
-        offset: int,
-        account: str,
-        cell: shapes.Cell,
-        taken: dict[str, int],
-    ) -> None:
-        room = self._schedule.ledger.workers.get(cell.worker)
-        text = ""
-        if room is None or not room.usable:
-            text = f"{account} is promised a cell of {cell.worker}, unusable"
-        elif cell.gpu_mask & taken.get(cell.worker, 0):
-            text = f"{account} shares a cell of {cell.worker}"
-        if text:
-            finding = Finding(self._stream, offset, text)
-            self._guarantee.findings.append(finding)
-        taken[cell.worker] = taken.get(cell.worker, 0) | cell.gpu_mask
-
-    def _note_shortfall(self, offset: int, account: str, missing: int) -> None:
-        before = self._short.get(account, 0)
-        self._short[account] = missing
-        if missing > before:
-            text = f"{account} is short of {missing} guaranteed cells"
-            finding = Finding(self._stream, offset, text)
-            self._guarantee.findings.append(finding)
+        if used > self._gpus[worker]:
+            text = (
+                f"{body.group} was placed on accelerators in use on {worker}"
+            )
+            self._find(GANG, text)
+
+    def _take_vacated(self, body: evidence_records.Vacated) -> None:
+        placed = self._placed.get(body.group)
+        if placed is not None and placed.run == body.run:
+            del self._placed[body.group]
+        if body.outcome == "done":
+            self._done.add(body.group)
+
+    def _take_over(self, body: evidence_records.Over) -> None:
+        """A job is over; what it waited for is not owed any more."""
+        for group in [*self._waits]:
+            if group.rsplit(".", 3)[0] == body.job:
+                del self._waits[group]
+
+    def _end_wait(self, group: str, at_ms: int) -> None:
+        """Check how long a reclaim took, now that it is over."""
+        wait = self._waits.pop(group, None)
+        if wait is None:
+            return
+        self._cases[GUARANTEE].checked += 1
+        took_ms = at_ms - wait.begun_ms
+        if took_ms > self._reclaim_ms + _CLOCK_SLACK_MS:
+            text = (
+                f"the reclaim for {group} took {took_ms} ms of"
+                f" {self._reclaim_ms}"
+            )
+            self._find(GUARANTEE, text, wait.number)
+
+    def _check_taken(self) -> None:
+        """Check that operators' jobs were confirmed."""
+        for number, body in self._taken.values():
+            if body.queue != planner.OPERATORS:
+                continue
+            self._cases[CONFIRMED].checked += 1
+            decided = self._decided.get(body.plan)
+            if decided is None or decided.subject != body.job:
+                text = f"{body.job} was taken up without a confirmed plan"
+                self._find(CONFIRMED, text, number)
--- a/kingcuplever/process/job_metrics.py
+++ b/kingcuplever/process/job_metrics.py
@@ -6,6 +6,7 @@
 
 from kingcuplever.connection import http_server
 from kingcuplever import errors
+from kingcuplever.process.stored import evidence_records
 
 _SHORT_S: Final = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
 _LONG_S: Final = (0.1, 0.25, 0.5, 1, 2, 4, 8, 16, 32, 64, 300, 3600)
@@ -14,9 +15,16 @@
 class JobMetrics:
     """All metrics of one process, in a registry of their own."""
 
-    def __init__(self) -> None:
-        """Register the metrics."""
-        self.registry = prometheus_client.CollectorRegistry()
+    def __init__(
+        self, registry: prometheus_client.CollectorRegistry | None = None
+    ) -> None:
+        """Register the metrics.
+
+        :param registry: where to; one of its own if absent.
+        """
+        if registry is None:
+            registry = prometheus_client.CollectorRegistry()
+        self.registry = registry
         self.answers = prometheus_client.Counter(
             "kingcuplever_job_answers",
             "Answers to callers of jobs by method and status.",
@@ -62,6 +70,30 @@
             ["cause"],
             registry=self.registry,
         )
+        self.fragmentation = prometheus_client.Gauge(
+            "kingcuplever_fragmentation",
+            "Share of free accelerators that no task of a size can use.",
+            ["data_centre", "gpus"],
+            registry=self.registry,
+        )
+        self.wait_seconds = prometheus_client.Histogram(
+            "kingcuplever_wait_seconds",
+            "Time from when a group could start to its placement.",
+            buckets=_LONG_S,
+            registry=self.registry,
+        )
+        self.reclaims = prometheus_client.Counter(
+            "kingcuplever_reclaims",
+            "Times that work was stopped for other work, by entitlement.",
+            ["entitled"],
+            registry=self.registry,
+        )
+        self.ended_jobs = prometheus_client.Counter(
+            "kingcuplever_ended_jobs",
+            "Jobs that are over, by state.",
+            ["state"],
+            registry=self.registry,
+        )
         self.append_seconds = prometheus_client.Histogram(
             "kingcuplever_append_seconds",
             "Time until the log has taken a batch of the owner's.",
@@ -86,6 +118,16 @@
             registry=self.registry,
         )
 
+    def note(self, row: evidence_records.Row) -> None:
+        """Count something that the owner has decided."""
+        body = row.body
+        if isinstance(body, evidence_records.Placed):
+            self.wait_seconds.observe(body.waited_ms / 1000)
+        elif isinstance(body, evidence_records.Reclaimed):
+            self.reclaims.labels(str(body.entitled).lower()).inc()
+        elif isinstance(body, evidence_records.Over):
+            self.ended_jobs.labels(body.state).inc()
+
     async def handle(
         self, request: http_server.HttpRequest
     ) -> http_server.HttpResponse:
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -5,11 +5,13 @@
 owner before it wrote and that one can write no more.
 """
 
+from collections.abc import Callable
 import random
 from typing import Final
 
 import trio
 
+from kingcuplever import clock
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import logs
@@ -22,7 +24,9 @@
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import scheduler as schedulers
 from kingcuplever.process import side_links
+from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import following
+from kingcuplever.process.stored import intent_board
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import producing
@@ -50,13 +54,16 @@
         board: job_board.JobBoard,
         timing: schedulers.Timing,
         metrics: job_metrics.JobMetrics,
-        adviser: advisers.Adviser,
+        adviser: advisers.Adviser | None = None,
+        use_intents: Callable[[intent_board.IntentBoard], None] | None = None,
     ) -> None:
         """Follow; nothing is claimed yet.
 
         :param address: where sides reach this process, ``host:port``.
         :param strength: 0 to 1; a stronger host claims earlier.
+        :param use_intents: hears of what operators stated, where they do.
         """
+        self._use_intents = use_intents
         self._name = name
         self._address = address
         self._strength = strength
@@ -72,6 +79,16 @@
         self._resigned = False
         board.listener = self
 
+    @property
+    def reign(self) -> reigns.Reign | None:
+        """This entry's time as owner, while it is one."""
+        return self._reign
+
+    @property
+    def links(self) -> side_links.SideLinks:
+        """The links that sides keep to this entry as owner."""
+        return self._links
+
     def set_policy(self, policy: model.Policy) -> None:
         """Use a new version of the configuration."""
         self._policy = policy
@@ -84,19 +101,23 @@
         if self._reign is not None:
             self._reign.job_changed(name, job)
 
+    def intents_changed(self) -> None:
+        """Follow what operators stated."""
+        if self._use_intents is not None:
+            self._use_intents(self._board.intents)
+
+    async def listen(self) -> None:
+        """Serve sides at the address of its own until cancelled."""
+        host, port = options.split_address(self._address)
+        await trio.serve_tcp(self._links.serve, port, host=host)
+
     async def run(self) -> None:
         """Watch, claim and decide until cancelled."""
-        host, port = options.split_address(self._address)
-        async with trio.open_nursery() as nursery:
-            listeners = await trio.open_tcp_listeners(port, host=host)
-            nursery.start_soon(
-                trio.serve_listeners, self._links.serve, listeners
-            )
-            while not self._resigned:
-                await self._wait_for_silence()
-                reign = await self._claim()
-                if reign is not None:
-                    await self._decide(reign)
+        while not self._resigned:
+            await self._wait_for_silence()
+            reign = await self._claim()
+            if reign is not None:
+                await self._decide(reign)
 
     async def resign(self) -> None:
         """Own nothing any more; another entry need not wait to claim."""
@@ -129,7 +150,10 @@
         producer = producing.Producer(
             self._log, job_records.TOPIC, reigns.PRODUCER, epoch
         )
-        record = job_records.Owner(epoch, self._name, self._address, 0)
+        evidence = "" if present is None else present.evidence
+        record = job_records.Owner(
+            epoch, self._name, self._address, 0, evidence
+        )
         at = self._follower.offset
         text = f"Claiming epoch {epoch} at {at}."
         logs.info(logs.Part.OWNER, text)
@@ -159,7 +183,11 @@
         """Begin to decide, from what the log says."""
         scheduler = schedulers.Scheduler(self._timing)
         scheduler.set_policy(self._policy)
-        scheduler.load(self._board, trio.current_time(), reigns.wall_ms())
+        scheduler.load(self._board, trio.current_time(), clock.wall_ms())
+        for plan in self._board.intents.plans.values():
+            # Evidence of the past owner's last seconds may be lost.
+            if plan.decision == "accepted":
+                scheduler.note(evidence_records.decided(plan))
         return reigns.Reign(
             owner,
             producer,
--- a/kingcuplever/process/leases.py
+++ b/kingcuplever/process/leases.py
@@ -15,19 +15,32 @@
 _CLOCK_SLACK: Final = 1.02
 # Covers reports and prolongations that were under way.
 _MARGIN_S: Final = 1.5
+# Leases are prolonged at least so often.
+_PERIOD_S: Final = 1.0
 
 
-def may_prolong(heard_owner_at: float, now: float) -> bool:
+def may_prolong(heard_owner_at: float, now: float, alone_s: float) -> bool:
     """Tell whether a side may prolong leases by itself."""
-    return now - heard_owner_at < ALONE_S
+    return now - heard_owner_at < alone_s
 
 
-def lost_after_s(lease_s: float) -> float:
+def lost_after_s(lease_s: float, alone_s: float = ALONE_S) -> float:
     """Silence of a side, in seconds, after which its leases have lapsed.
 
     :param lease_s: the longest lease that the worker grants.
+    :param alone_s: how long sides prolong leases by themselves.
     """
-    return ALONE_S + lease_s * _CLOCK_SLACK + _MARGIN_S
+    return alone_s + lease_s * _CLOCK_SLACK + _MARGIN_S
+
+
+def part_alone_s(alone_s: float) -> float:
+    """Give how long part of a gang can run without the rest, in seconds.
+
+    A member whose side has ended lapses at its lease's end; the others are
+    stopped once its owner counts the side as lost, and a lease is prolonged
+    anew each second at most.
+    """
+    return alone_s + _MARGIN_S + _PERIOD_S
 
 
 class WorkerClock:
--- a/kingcuplever/process/members.py
+++ b/kingcuplever/process/members.py
@@ -34,8 +34,6 @@
         self.data_centre = heartbeat.data_centre
         self.heard_at = now
         self.config_version = heartbeat.config_version
-        self.epoch = heartbeat.epoch
-        self.worker = heartbeat.worker.worker if heartbeat.worker else ""
 
 
 class Members:
@@ -44,7 +42,6 @@
     def __init__(self) -> None:
         """Start without sides."""
         self._links: dict[str, Link] = {}
-        self._by_worker: dict[str, str] = {}
         self._ring: list[tuple[int, str]] = []
 
     def __len__(self) -> int:
@@ -63,8 +60,6 @@
             return False
         link = Link(peer, heartbeat, now)
         self._links[heartbeat.side] = link
-        if link.worker:
-            self._by_worker[link.worker] = link.side
         if known is None:
             self._make_ring()
         return known is None or known.incarnation != link.incarnation
@@ -93,10 +88,6 @@
         """Give the link of a side."""
         return self._links.get(side)
 
-    def find_worker(self, worker: str) -> Link | None:
-        """Give the link of the side beside a worker."""
-        return self._links.get(self._by_worker.get(worker, ""))
-
     def all(self) -> list[Link]:
         """Give every link, by the side's name."""
         return [self._links[name] for name in sorted(self._links)]
--- a/kingcuplever/process/metrics.py
+++ b/kingcuplever/process/metrics.py
@@ -53,50 +53,6 @@
             "Version of the configuration in force.",
             registry=self.registry,
         )
-        self.epoch = prometheus_client.Gauge(
-            "kingcuplever_epoch",
-            "Newest epoch of a data centre's scheduling.",
-            ["data_centre"],
-            registry=self.registry,
-        )
-        self.owning = prometheus_client.Gauge(
-            "kingcuplever_owning",
-            "1 where this entry owns a data centre's scheduling.",
-            ["data_centre"],
-            registry=self.registry,
-        )
-        self.jobs = prometheus_client.Gauge(
-            "kingcuplever_jobs",
-            "Jobs by phase.",
-            ["data_centre", "phase"],
-            registry=self.registry,
-        )
-        self.fragmentation = prometheus_client.Gauge(
-            "kingcuplever_fragmentation",
-            "Share of free accelerators that no gang of a size can use.",
-            ["data_centre", "gpus"],
-            registry=self.registry,
-        )
-        self.completion_seconds = prometheus_client.Histogram(
-            "kingcuplever_completion_seconds",
-            "Time from a job's acceptance to its end.",
-            ["data_centre", "priority"],
-            buckets=(1, 5, 15, 60, 300, 900, 3600, 14400, 43200),
-            registry=self.registry,
-        )
-        self.reclaim_seconds = prometheus_client.Histogram(
-            "kingcuplever_reclaim_seconds",
-            "Time from a reclaim's decision to the placement it was for.",
-            ["data_centre"],
-            buckets=(0.5, 1, 2, 4, 8, 16, 32),
-            registry=self.registry,
-        )
-        self.dropped = prometheus_client.Gauge(
-            "kingcuplever_dropped_records",
-            "Records of past owners that were left out.",
-            ["data_centre"],
-            registry=self.registry,
-        )
 
     def render(self) -> bytes:
         """Give the text that Prometheus reads."""
--- a/kingcuplever/process/owner_link.py
+++ b/kingcuplever/process/owner_link.py
@@ -4,6 +4,7 @@
 worker on every change and at least once a period.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import json
 from typing import Final
@@ -21,6 +22,12 @@
 
 TOPIC: Final = "owner"
 
+# Sides are many and owners change rarely; a silent connection hides a new
+# owner for this long at most, in milliseconds.
+POLL_MS: Final = 4000
+# Announcements are few; they are read as soon as they come.
+PACE_S: Final = 0.02
+
 # A side reports at least so often; the owner places no work on a worker
 # that it has not heard for some of these.
 _PERIOD_S: Final = 1.0
@@ -66,9 +73,16 @@
     """Keeps one connection to the present owner."""
 
     def __init__(
-        self, sink: OwnerSink, agent: worker_agent.WorkerAgent
+        self,
+        sink: OwnerSink,
+        agent: worker_agent.WorkerAgent,
+        find: Callable[[job_records.Owner], str] | None = None,
     ) -> None:
-        """Link an agent to whoever owns."""
+        """Link an agent to whoever owns.
+
+        :param find: gives an owner's address, where it is not as announced.
+        """
+        self._find = find
         self._sink = sink
         self._agent = agent
 
@@ -88,7 +102,8 @@
 
     async def _live(self, owner: job_records.Owner) -> None:
         """Dial an owner and report until the link ends."""
-        host, port = options.split_address(owner.address)
+        address = owner.address if self._find is None else self._find(owner)
+        host, port = options.split_address(address)
         try:
             with trio.fail_after(_ANSWER_S):
                 stream = await trio.open_tcp_stream(host, port)
--- /dev/null
+++ b/kingcuplever/process/platform_clients.py
@@ -0,0 +1,23 @@
+"""What the product needs of a platform, made by its adapter."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from kingcuplever.connection import http_client
+from kingcuplever.connection import http_server
+from kingcuplever.connection import keyed_log
+from kingcuplever.process import executor
+from kingcuplever.process import worker_agent
+
+
+class PlatformClients(NamedTuple):
+    """How a process reaches the platform.
+
+    :ivar make_log: gives the log behind a client.
+    :ivar make_executor: gives the worker behind a client.
+    :ivar make_registry: gives the handler of a worker's registrations.
+    """
+
+    make_log: Callable[[http_client.HttpClient], keyed_log.KeyedLog]
+    make_executor: Callable[[http_client.HttpClient], executor.Executor]
+    make_registry: Callable[[worker_agent.WorkerAgent], http_server.Handler]
--- a/kingcuplever/process/reign.py
+++ b/kingcuplever/process/reign.py
@@ -4,21 +4,25 @@
 done leaves after that.  The reign ends when a newer epoch is seen.
 """
 
-import time
+from collections.abc import Sequence
 from typing import Final
 
 import trio
 
+from kingcuplever import clock
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever.process import advisers
+from kingcuplever.process import evidence_writer
 from kingcuplever.process import job_metrics
 from kingcuplever.process import owner_link
 from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import fragmentation
 from kingcuplever.process.scheduling import scheduler as schedulers
 from kingcuplever.process import side_links
+from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import producing
@@ -37,6 +41,18 @@
 _RESIGN_S: Final = 1.0
 
 
+class _Entrusted:
+    """Records of an operator that wait for the next batch.
+
+    :ivar end: offset after the batch, once the log has it.
+    """
+
+    def __init__(self, records: tuple[keyed_log.KeyedRecord, ...]) -> None:
+        self.records = records
+        self.end = -1
+        self.done = trio.Event()
+
+
 class Reign:
     """All that lives as long as this entry owns one epoch.
 
@@ -52,7 +68,7 @@
         log: keyed_log.KeyedLog,
         board: job_board.JobBoard,
         links: side_links.SideLinks,
-        adviser: advisers.Adviser,
+        adviser: advisers.Adviser | None,
         metrics: job_metrics.JobMetrics,
     ) -> None:
         """Begin, with a claim that the log has taken.
@@ -75,6 +91,11 @@
         self._appended_at = trio.current_time()
         self._order_number = 0
         self._sending: set[str] = set()
+        self._entrusted: list[_Entrusted] = []
+        self._named_head = evidence_records.START
+        self._evidence = evidence_writer.EvidenceWriter(
+            log, owner.epoch, owner.entry, owner.evidence
+        )
         self._news = trio.Event()
 
     async def run(self) -> None:
@@ -84,29 +105,50 @@
             nursery.start_soon(self._step_all, nursery)
             nursery.start_soon(self._append_all)
             nursery.start_soon(self._ask_all)
+            nursery.start_soon(self._evidence.run)
             await self.lost.wait()
             nursery.cancel_scope.cancel()
 
     async def resign(self) -> None:
         """Say on the log that nobody decides in this epoch any more."""
         self.lost.set()
-        record = job_records.owner(self._owner._replace(renewal=RESIGNED))
         try:
             with trio.move_on_after(_RESIGN_S):
-                await self._producer.append([record])
+                await self._evidence.flush()
+                owner = self._renew(RESIGNED)
+                await self._producer.append([job_records.owner(owner)])
         except errors.KingcupleverError as error:
             text = f"The resignation is not on the log: {error.detail}"
             logs.warn(logs.Part.OWNER, text)
 
+    async def keep(self, records: Sequence[keyed_log.KeyedRecord]) -> int:
+        """Append what an operator decided, with the owner's own records.
+
+        :return: the offset after them.
+        :raises errors.LogUnavailable: the epoch is over; they may be there.
+        """
+        entrusted = _Entrusted(tuple(records))
+        self._entrusted.append(entrusted)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when, self.lost, nursery)
+            await entrusted.done.wait()
+            nursery.cancel_scope.cancel()
+        if entrusted.end < 0:
+            raise errors.LogUnavailable(
+                "Another entry owns now; look whether it is done."
+            )
+        return entrusted.end
+
     def job_changed(self, name: str, job: job_board.StoredJob) -> None:
         """Follow what callers did."""
         now = trio.current_time()
-        self.scheduler.job_changed(name, job, now, wall_ms())
+        self.scheduler.job_changed(name, job, now, clock.wall_ms())
         self.wake()
 
     def report(self, listing: fleet.Listing) -> int:
         """Take in a side's report; give the epoch."""
-        self.scheduler.report(listing, trio.current_time(), wall_ms())
+        now = trio.current_time()
+        self.scheduler.report(listing, now, clock.wall_ms())
         self.wake()
         return self.epoch
 
@@ -119,15 +161,12 @@
         producer = producing.Producer(
             self._log, owner_link.TOPIC, PRODUCER, self.epoch
         )
-        while True:
-            try:
-                await producer.append([owner_link.announcement(self._owner)])
-                return
-            except errors.LogRefused:
-                await trio.sleep(_RETRY_S)
-            except errors.LogFenced:
-                self.lost.set()
-                return
+        record = owner_link.announcement(self._owner)
+        try:
+            await producer.append([record], insist=True)
+        except errors.LogFenced as error:
+            logs.warn(logs.Part.OWNER, f"Not announced: {error.detail}")
+            self.lost.set()
 
     async def _step_all(self, nursery: trio.Nursery) -> None:
         """Drive the scheduler by news and time."""
@@ -137,7 +176,7 @@
                 self.lost.set()
                 return
             with self._metrics.decision_seconds.time():
-                self.scheduler.tick(trio.current_time(), wall_ms())
+                self.scheduler.tick(trio.current_time(), clock.wall_ms())
             self._show()
             for line in self.scheduler.take_said():
                 logs.info(line.part, line.text)
@@ -157,6 +196,9 @@
         if now - self._summed_up_at < _SUMMARY_S:
             return
         self._summed_up_at = now
+        shares = fragmentation.shares(scheduler.workers.values())
+        for (place, gpus), share in shares.items():
+            self._metrics.fragmentation.labels(place, str(gpus)).set(share)
         lost = {
             cause: round(core_s)
             for cause, core_s in scheduler.lost_work.items()
@@ -211,6 +253,8 @@
 
     async def _ask_all(self) -> None:
         """Ask the queues' policy, one question at a time."""
+        if self._adviser is None:
+            return
         while True:
             question = self.scheduler.next_question()
             if question is None:
@@ -236,42 +280,66 @@
         """Append what must last, one batch at a time."""
         while True:
             changes = self.scheduler.take_changes()
+            entrusted, self._entrusted = self._entrusted, []
+            self._note_evidence()
+            records = [] if changes is None else [*changes.records]
+            for one in entrusted:
+                records += one.records
+            silent_s = trio.current_time() - self._appended_at
+            if records and self._evidence.head != self._named_head:
+                records.append(job_records.owner(self._renew()))
+            elif not records and silent_s > _RENEW_S:
+                records = [job_records.owner(self._renew())]
+            if not records:
+                await trio.sleep(_TICK_S / 2)
+                continue
+            end = await self._append(records)
             if changes is not None:
-                await self._append(changes.records)
                 self.scheduler.committed(changes.number)
-                self.wake()
-                continue
-            if trio.current_time() - self._appended_at > _RENEW_S:
-                self._renewal += 1
-                owner = self._owner._replace(renewal=self._renewal)
-                await self._append((job_records.owner(owner),))
-            await trio.sleep(_TICK_S / 2)
-
-    async def _append(
-        self, records: tuple[keyed_log.KeyedRecord, ...]
-    ) -> None:
-        """Append until the log has it, or the epoch is lost."""
-        refused = False
-        while True:
-            try:
-                began_at = trio.current_time()
-                await self._producer.append(records)
-                self._appended_at = trio.current_time()
-                seconds = self._appended_at - began_at
-                self._metrics.append_seconds.observe(seconds)
-                return
-            except errors.LogRefused as error:
-                if not refused:
-                    text = f"Not appended: {error.detail}"
-                    logs.warn(logs.Part.OWNER, text)
-                refused = True
-                await trio.sleep(_RETRY_S)
-            except errors.LogFenced as error:
-                logs.warn(logs.Part.OWNER, f"Fenced: {error.detail}")
-                self.lost.set()
-                await trio.sleep_forever()
+            for one in entrusted:
+                one.end = end
+                one.done.set()
+            self.wake()
+
+    def _note_evidence(self) -> None:
+        """Hand on what can be shown as evidence by now."""
+        rows = self.scheduler.take_evidence()
+        for row in rows:
+            self._metrics.note(row)
+        self._evidence.take(rows)
+
+    def _renew(self, renewal: int = 0) -> job_records.Owner:
+        """Make the next renewal; it names the newest evidence.
+
+        :param renewal: its number; 0 for the next one.
+        """
+        self._renewal += 1
+        self._named_head = self._evidence.head
+        named = self._owner.evidence
+        if self._named_head != evidence_records.START:
+            named = str(self._named_head)
+        return self._owner._replace(
+            renewal=renewal or self._renewal, evidence=named
+        )
+
+    async def _append(self, records: Sequence[keyed_log.KeyedRecord]) -> int:
+        """Append until the log has it, or the epoch is lost.
+
+        :return: the offset after the records.
+        """
+        began_at = trio.current_time()
+        try:
+            end = await self._producer.append(records, insist=True)
+        except errors.LogFenced as error:
+            logs.warn(logs.Part.OWNER, f"Fenced: {error.detail}")
+            self.lost.set()
+            await trio.sleep_forever()
+        self._appended_at = trio.current_time()
+        seconds = self._appended_at - began_at
+        self._metrics.append_seconds.observe(seconds)
+        return end
 
 
-def wall_ms() -> int:
-    """Give the time of day."""
-    return time.time_ns() // 1_000_000
+async def _cancel_when(event: trio.Event, nursery: trio.Nursery) -> None:
+    await event.wait()
+    nursery.cancel_scope.cancel()
--- a/kingcuplever/process/scheduling/book.py
+++ b/kingcuplever/process/scheduling/book.py
@@ -1,31 +1,42 @@
 """What the parts of the scheduler share: jobs, workers, and what changed."""
 
 from typing import Final
+from typing import NamedTuple
 
 from kingcuplever import logs
-from kingcuplever.process import commands
+from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import waiting
 from kingcuplever.process.scheduling import work
+from kingcuplever.process.stored import evidence_records
 
 # What a queue that the configuration has dropped is taken to have promised.
 _GONE_STRETCH: Final = 3.0
 _GONE_SLACK_MS: Final = 1000
 
 
+class Say(NamedTuple):
+    """A log line for the process to write."""
+
+    part: logs.Part
+    text: str
+
+
 class AfterCommit:
     """What may happen once a batch of records is on the log.
 
     :ivar starts: groups to start, with the number of the run.
     :ivar acks: the newest end to acknowledge, by worker.
+    :ivar rows: what can be shown as evidence from then on.
     """
 
     def __init__(self) -> None:
         """Start with nothing."""
         self.starts: list[tuple[work.Group, int]] = []
         self.acks: dict[str, int] = {}
+        self.rows: list[evidence_records.Row] = []
 
 
 class Book:
@@ -43,6 +54,8 @@
     :ivar advice: which workers may run which step, where that is asked.
     :ivar said: log lines that are waiting.
     :ivar lost_work: core-seconds thrown away so far, by cause.
+    :ivar accounts: what operators promised, and the cells that are kept.
+    :ivar wall_ms: time of day of the present decision.
     """
 
     def __init__(self) -> None:
@@ -57,8 +70,10 @@
         self.after = AfterCommit()
         self.place_wanted = True
         self.advice = advice.AdviceBook()
-        self.said: list[commands.Say] = []
+        self.said: list[Say] = []
         self.lost_work: dict[str, float] = {}
+        self.accounts = accounts.Accounts()
+        self.wall_ms = 0
 
     def queue_of(self, job: work.Job) -> model.QueuePolicy:
         """Give the queue's policy; a removed queue keeps its jobs going."""
@@ -116,6 +131,10 @@
         )
         worker.orders_changed = True
 
+    def note(self, body: evidence_records.Body) -> None:
+        """Leave evidence; it is written once what it tells is kept."""
+        self.after.rows.append(evidence_records.Row(self.wall_ms, body))
+
     def say(self, part: logs.Part, text: str) -> None:
         """Leave a log line for the process to write."""
-        self.said.append(commands.Say(part, text))
+        self.said.append(Say(part, text))
--- a/kingcuplever/process/scheduling/fleet.py
+++ b/kingcuplever/process/scheduling/fleet.py
@@ -111,12 +111,6 @@
     return worker.partition("@")[2]
 
 
-# Failures in a row, over two tasks at least, that set a worker aside.
-_QUARANTINE_FAILURES = 3
-# How long it is set aside before one task is tried on it again.
-QUARANTINE_S = 6.0
-
-
 class Worker:
     """One worker.
 
@@ -197,21 +191,19 @@
             self.stops.discard(run)
             self.orders_changed = True
 
-    def failed(self, task: str, now: float) -> bool:
+    def failed(self, task: str, policy: model.Policy, now: float) -> bool:
         """Note a failure; tell whether the worker is set aside for it."""
         self._failures += 1
         self._failed_tasks.add(task)
-        if (
-            self._failures < _QUARANTINE_FAILURES
-            or len(self._failed_tasks) < 2
-        ):
+        too_few = self._failures < policy.worker_failures
+        if too_few or len(self._failed_tasks) < 2:
             return False
-        return self.set_aside(now)
+        return self.set_aside(policy.probation_s, now)
 
-    def set_aside(self, now: float) -> bool:
+    def set_aside(self, for_s: float, now: float) -> bool:
         """Give it no work for a while; tell whether that is new."""
         is_new = now >= self.away_until
-        self.away_until = now + QUARANTINE_S
+        self.away_until = now + for_s
         return is_new
 
     def succeeded(self) -> None:
--- a/kingcuplever/process/scheduling/jobs.py
+++ b/kingcuplever/process/scheduling/jobs.py
@@ -7,6 +7,7 @@
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import work
+from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import job_board
 
 # A task is not placed again at once after a run that came to nothing.
@@ -60,9 +61,28 @@
             f" order {job.order}: taken, {job.state}."
         )
         self._book.say(logs.Part.PLACE, text)
+        if job.state == model.PENDING:
+            spec = job.spec
+            taken = evidence_records.Taken(
+                job.name, spec.account, spec.queue, spec.plan
+            )
+            self._book.note(taken)
 
     def _adopt(self, group: work.Group, now: float) -> None:
         """Take over what a past owner assigned."""
+        if not group.vacant:
+            # Evidence of the past owner's last seconds may be lost.
+            self._book.note(
+                evidence_records.Placed(
+                    group.job.name,
+                    group.tasks[0],
+                    group.run,
+                    len(group.tasks),
+                    group.spec.gpus,
+                    tuple(group.holders),
+                    evidence_records.ADOPTED,
+                )
+            )
         if group.phase == work.ASSIGNED and group.vacant:
             group.phase = work.WAITING
         for index, holder in enumerate(group.holders):
@@ -146,12 +166,14 @@
         index = group.index_of(task)
         if group.holders[index] == worker.name:
             group.holders[index] = ""
+        self._note_vacant(group, reason)
         if reason != "done" and group.phase == work.ASSIGNED:
             cause = group.stopping.partition(" ")[0] or reason
             self._book.note_lost_work(cause, group.lost_work(now))
         job = group.job
         self._book.dirty[job.name] = None
         if group.phase != work.ASSIGNED:
+            job.close_finished(group.occurrence)
             self._close_if_over(job)
             return
         if not group.vacant:
@@ -166,6 +188,17 @@
         else:
             self._book.ready.add(group)
 
+    def _note_vacant(self, group: work.Group, reason: str) -> None:
+        """Leave evidence that a run is over, once nothing is left of it."""
+        if not group.vacant or group.noted >= group.run:
+            return
+        group.noted = group.run
+        outcome = group.stopping or reason
+        if group.phase == work.DONE:
+            outcome = "done"
+        vacated = evidence_records.Vacated(group.tasks[0], group.run, outcome)
+        self._book.note(vacated)
+
     def check_attempts(self, group: work.Group, wall_ms: int) -> None:
         """Fail a job whose group has failed as often as it may."""
         job = group.job
@@ -188,6 +221,7 @@
         self._book.dirty[job.name] = None
         text = f"Job {job.name} is {state}: {reason}."
         self._book.say(logs.Part.PLACE, text)
+        self._book.note(evidence_records.Over(job.name, state, reason))
         if state != model.COMPLETED:
             self._stop_all(job, reason)
         self._close_if_over(job)
