Evidence tells for each member of a gang when its room is free

Cause: the demo's evidence said 'broken' for small jobs that were placed on accelerators in use. The first end of a gang ends the gang, and that member's room is given out at once, while the others end some milliseconds later; the evidence told of the whole run's end only. Ruled out: room given out twice (the workers' own truth shows no overlap). Change: a row for each member, with how many are left. The demo states the configuration's present keys.

--- a/kingcuplever/process/evidence.py
+++ b/kingcuplever/process/evidence.py
@@ -296,7 +296,12 @@
     def _take_vacated(self, body: evidence_records.Vacated) -> None:
         placed = self._placed.get(body.group)
         if placed is not None and placed.run == body.run:
-            del self._placed[body.group]
+            workers = [*placed.workers]
+            if body.worker in workers:
+                workers[workers.index(body.worker)] = ""
+            self._placed[body.group] = placed._replace(workers=tuple(workers))
+            if not body.left:
+                del self._placed[body.group]
         if body.outcome == "done":
             self._done.add(body.group)
 
--- a/kingcuplever/process/scheduling/jobs.py
+++ b/kingcuplever/process/scheduling/jobs.py
@@ -166,7 +166,7 @@
         index = group.index_of(task)
         if group.holders[index] == worker.name:
             group.holders[index] = ""
-        self._note_vacant(group, reason)
+        self._note_vacated(group, worker, reason)
         if reason != "done" and group.phase == work.ASSIGNED:
             cause = group.stopping.partition(" ")[0] or reason
             self._book.note_lost_work(cause, group.lost_work(now))
@@ -188,15 +188,17 @@
         else:
             self._book.ready.add(group)
 
-    def _note_vacant(self, group: work.Group, reason: str) -> None:
-        """Leave evidence that a run is over, once nothing is left of it."""
-        if not group.vacant or group.noted >= group.run:
-            return
-        group.noted = group.run
+    def _note_vacated(
+        self, group: work.Group, worker: fleet.Worker, reason: str
+    ) -> None:
+        """Leave evidence that a task of a run is on its worker no more."""
         outcome = group.stopping or reason
         if group.phase == work.DONE:
             outcome = "done"
-        vacated = evidence_records.Vacated(group.tasks[0], group.run, outcome)
+        left = sum(bool(holder) for holder in group.holders)
+        vacated = evidence_records.Vacated(
+            group.tasks[0], group.run, worker.name, left, outcome
+        )
         self._book.note(vacated)
 
     def check_attempts(self, group: work.Group, wall_ms: int) -> None:
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -34,7 +34,6 @@
     :ivar ready_at: steady time since when it waits for a place.
     :ivar not_before: steady time before which it is not placed again.
     :ivar avoid: workers on which it failed.
-    :ivar noted: newest run whose end was left as evidence.
     :ivar tickets: leave of the queue's policy for the present run, by
         worker, where that is needed.
     """
@@ -60,7 +59,6 @@
         "not_before",
         "avoid",
         "tickets",
-        "noted",
     )
 
     def __init__(
@@ -91,7 +89,6 @@
         self.not_before = 0.0
         self.avoid: set[str] = set()
         self.tickets: dict[str, str] = {}
-        self.noted = 0
 
     @property
     def vacant(self) -> bool:
--- a/kingcuplever/process/stored/evidence_records.py
+++ b/kingcuplever/process/stored/evidence_records.py
@@ -116,13 +116,16 @@
 
 
 class Vacated(NamedTuple):
-    """No task of a group's run is on any worker.
+    """A task of a group's run is on its worker no more.
 
+    :ivar left: tasks of the run that are still on workers.
     :ivar outcome: ``done``, or why it came to nothing.
     """
 
     group: str
     run: int
+    worker: str
+    left: int
     outcome: str
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -116,7 +116,7 @@
 
     def _publish_configuration(self) -> None:
         document = {
-            "scheduling": {"reclaim_ms": 5000, "checkpoint_ms": 2000},
+            "scheduling": {"reclaim_ms": 4000, "starvation_s": 30.0},
             "services": {self._story.service: {"connections": 60}},
         }
         started = time.monotonic()
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -305,3 +305,23 @@
     found = judge([])
     assert {item.verdict for item in found.values()} == {"not provable"}
     assert all(item.missing for item in found.values())
+
+
+def test_room_of_a_member_that_is_gone_can_be_given_again() -> None:
+    """The first end of a gang is the gang's; the others end a little later."""
+    bodies: list[evidence_records.Body] = [
+        evidence_records.Claimed(1, "e1", ""),
+        evidence_records.WorkerSeen("w1", 8),
+        evidence_records.WorkerSeen("w2", 8),
+        evidence_records.Placed("g", "g.0.0.0", 1, 2, 8, ("w1", "w2"), 0),
+        evidence_records.Vacated("g.0.0.0", 1, "w1", 1, "done"),
+        evidence_records.Placed("s", "s.0.0.0", 1, 1, 8, ("w1",), 0),
+        evidence_records.Vacated("g.0.0.0", 1, "w2", 0, "done"),
+        evidence_records.Placed("t", "t.0.0.0", 1, 1, 8, ("w2",), 0),
+    ]
+    rows = [evidence_records.Row(100_000, body) for body in bodies]
+    found = judge(rows)
+    assert found[evidence.GANG].findings == ()
+    assert found[evidence.GANG].checked == 3
+    early = [*rows[:4], rows[7], *rows[4:7]]
+    assert judge(early)[evidence.GANG].verdict == "broken"
