Entries help one another to keep a job; one that can't append leaves at once

Cause: an entry that the store turns away, or that is cut off, refused what another entry could have kept. Ruled out: holding a request until the store may be back (users: refuse at once what can't be served); shorter polls (more calls for 0.3 s). Change: what an entry can't append it hands to the owner's entry, at once where the store refused, after 0.25 s where it is silent; a record is the same whoever appends it. A failed append makes an entry not ready until the log has been read 0.5 s later. Once neither the log nor another entry took a record, others are refused at once for 0.3 s.

--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -1935,6 +1935,219 @@
         return not (self == other)
 
 
+class KeyedRow(object):
+    """
+    Attributes:
+     - key
+     - value
+
+    """
+
+
+    def __init__(self, key=None, value=None,):
+        self.key = key
+        self.value = value
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.value = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KeyedRow')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 1)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        if self.value is not None:
+            oprot.writeFieldBegin('value', TType.STRING, 2)
+            oprot.writeBinary(self.value)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class KeepRecords(object):
+    """
+    Attributes:
+     - rows
+     - timeout_ms
+
+    """
+
+
+    def __init__(self, rows=None, timeout_ms=None,):
+        self.rows = rows
+        self.timeout_ms = timeout_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = KeyedRow()
+                        _elem75.read(iprot)
+                        self.rows.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.timeout_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('KeepRecords')
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter76 in self.rows:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.timeout_ms is not None:
+            oprot.writeFieldBegin('timeout_ms', TType.I32, 2)
+            oprot.writeI32(self.timeout_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RecordsKept(object):
+    """
+    Attributes:
+     - outcome
+     - detail
+
+    """
+
+
+    def __init__(self, outcome=None, detail=None,):
+        self.outcome = outcome
+        self.detail = detail
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.detail = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RecordsKept')
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 1)
+            oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
+            oprot.writeFieldEnd()
+        if self.detail is not None:
+            oprot.writeFieldBegin('detail', TType.STRING, 2)
+            oprot.writeString(self.detail.encode('utf-8') if sys.version_info[0] == 2 else self.detail)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerError(object):
     """
     Attributes:
@@ -2017,11 +2230,13 @@
      - worker_reply
      - worker_orders
      - orders_taken
+     - keep_records
+     - records_kept
 
     """
 
 
-    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, peer_error=None, claim=None, claim_reply=None, worker_report=None, worker_reply=None, worker_orders=None, orders_taken=None,):
+    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, peer_error=None, claim=None, claim_reply=None, worker_report=None, worker_reply=None, worker_orders=None, orders_taken=None, keep_records=None, records_kept=None,):
         self.heartbeat = heartbeat
         self.heartbeat_reply = heartbeat_reply
         self.dispatch = dispatch
@@ -2033,6 +2248,8 @@
         self.worker_reply = worker_reply
         self.worker_orders = worker_orders
         self.orders_taken = orders_taken
+        self.keep_records = keep_records
+        self.records_kept = records_kept
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2109,6 +2326,18 @@
                     self.orders_taken.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.keep_records = KeepRecords()
+                    self.keep_records.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.records_kept = RecordsKept()
+                    self.records_kept.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2163,6 +2392,14 @@
             oprot.writeFieldBegin('orders_taken', TType.STRUCT, 11)
             self.orders_taken.write(oprot)
             oprot.writeFieldEnd()
+        if self.keep_records is not None:
+            oprot.writeFieldBegin('keep_records', TType.STRUCT, 12)
+            self.keep_records.write(oprot)
+            oprot.writeFieldEnd()
+        if self.records_kept is not None:
+            oprot.writeFieldBegin('records_kept', TType.STRUCT, 13)
+            self.records_kept.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2422,6 +2659,24 @@
     None,  # 0
     (1, TType.I64, 'number', None, None, ),  # 1
 )
+all_structs.append(KeyedRow)
+KeyedRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
+)
+all_structs.append(KeepRecords)
+KeepRecords.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'rows', (TType.STRUCT, [KeyedRow, None], False), None, ),  # 1
+    (2, TType.I32, 'timeout_ms', None, None, ),  # 2
+)
+all_structs.append(RecordsKept)
+RecordsKept.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'outcome', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'detail', 'UTF8', None, ),  # 2
+)
 all_structs.append(PeerError)
 PeerError.thrift_spec = (
     None,  # 0
@@ -2442,6 +2697,8 @@
     (9, TType.STRUCT, 'worker_reply', [WorkerReply, None], None, ),  # 9
     (10, TType.STRUCT, 'worker_orders', [WorkerOrders, None], None, ),  # 10
     (11, TType.STRUCT, 'orders_taken', [OrdersTaken, None], None, ),  # 11
+    (12, TType.STRUCT, 'keep_records', [KeepRecords, None], None, ),  # 12
+    (13, TType.STRUCT, 'records_kept', [RecordsKept, None], None, ),  # 13
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -12,6 +12,9 @@
 NOT_RUN: Final = "not-run"
 UNKNOWN: Final = "unknown"
 
+KEPT: Final = "kept"
+REFUSED: Final = "refused"
+
 
 class Header(NamedTuple):
     """One HTTP header."""
@@ -236,6 +239,27 @@
     number: int
 
 
+class KeyedRow(NamedTuple):
+    """A record for a keyed topic."""
+
+    key: str
+    value: bytes
+
+
+class KeepRecords(NamedTuple):
+    """Asks an entry to append records that the asker can't append itself."""
+
+    rows: tuple[KeyedRow, ...]
+    timeout_ms: int
+
+
+class RecordsKept(NamedTuple):
+    """What became of them: ``kept``, ``refused`` or ``unknown``."""
+
+    outcome: str
+    detail: str
+
+
 class PeerError(NamedTuple):
     """The peer could not serve the request."""
 
@@ -255,4 +279,6 @@
     | WorkerReply
     | WorkerOrders
     | OrdersTaken
+    | KeepRecords
+    | RecordsKept
 )
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -77,6 +77,12 @@
 
 struct OrdersTaken { 1: i64 number }
 
+struct KeyedRow { 1: string key, 2: binary value }
+
+struct KeepRecords { 1: list<KeyedRow> rows, 2: i32 timeout_ms }
+
+struct RecordsKept { 1: string outcome, 2: string detail }
+
 struct PeerError { 1: string code, 2: string detail }
 
 union Body {
@@ -84,7 +90,8 @@
   3: Dispatch dispatch, 4: DispatchReply dispatch_reply,
   5: PeerError peer_error, 6: Claim claim, 7: ClaimReply claim_reply,
   8: WorkerReport worker_report, 9: WorkerReply worker_reply,
-  10: WorkerOrders worker_orders, 11: OrdersTaken orders_taken
+  10: WorkerOrders worker_orders, 11: OrdersTaken orders_taken,
+  12: KeepRecords keep_records, 13: RecordsKept records_kept
 }
 
 struct Frame { 1: i64 id, 2: bool reply, 3: Body body }
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -19,6 +19,7 @@
 from kingcuplever.platform import registry
 from kingcuplever.platform import settings
 from kingcuplever.platform import store
+from kingcuplever.process import append_relay
 from kingcuplever.process import job_desk
 from kingcuplever.process import job_metrics
 from kingcuplever.process import job_owner
@@ -110,7 +111,8 @@
             return producing.Producer(log, job_records.TOPIC, name, 1)
 
         appender = producing.GroupAppender(make_producer)
-        desk = job_desk.JobDesk(board, follower, appender)
+        relay = append_relay.AppendRelay(host.name, board)
+        desk = job_desk.JobDesk(board, follower, appender, relay)
         fronts = front.Front(desk, metrics)
         timing = schedulers.Timing(
             leases.lost_after_s(host.lease_ms / 1000), host.status_s
@@ -136,10 +138,10 @@
                 follower.run,
                 operator.run,
                 appender.run,
-                owner.listen,
                 owner.run,
             ):
                 nursery.start_soon(task)
+            nursery.start_soon(owner.listen, appender)
             await nursery.start(_serve_metrics, host, metrics)
             await _serve_callers(host, fronts, desk, owner)
             nursery.cancel_scope.cancel()
--- a/kingcuplever/process/job_desk.py
+++ b/kingcuplever/process/job_desk.py
@@ -4,7 +4,9 @@
 record is acknowledged, and refused only while nothing of it can be there.
 """
 
+from collections.abc import Sequence
 from typing import Final
+from typing import Protocol
 
 import trio
 
@@ -22,10 +24,32 @@
 # An entry whose view is older asks for no new callers: two polls and a slow
 # answer; the balancer needs two seconds more to act on it.
 _READY_S: Final = 1.6
+# After a failed append the log must have been read so much later before
+# callers are asked for again; shorter than the balancer's two probes.
+_CALM_S: Final = 0.5
+# An append that takes longer is handed to another entry as well; over the
+# time of a slow append, under that of a connection that fails.
+_OWN_TRY_S: Final = 0.25
+# Once neither the log nor another entry took a record, others are refused
+# at once for so long; a fraction of when they are told to come back.
+_HOPELESS_S: Final = 0.3
 # How long one look at the log may take before the view counts as old.
 _REFRESH_S: Final = 0.8
 
 
+class Helper(Protocol):
+    """Appends for an entry that can't."""
+
+    async def append(
+        self, records: Sequence[keyed_log.KeyedRecord], timeout_s: float
+    ) -> None:
+        """Have records appended.
+
+        :raises errors.LogRefused: surely nothing was done.
+        :raises errors.LogUnavailable: it may or may not be done.
+        """
+
+
 class JobDesk:
     """Takes jobs in and tells how they are."""
 
@@ -34,8 +58,14 @@
         board: job_board.JobBoard,
         follower: following.Follower,
         appender: producing.GroupAppender,
+        relay: Helper,
     ) -> None:
-        """Answer from a board that a follower keeps up to date."""
+        """Answer from a board that a follower keeps up to date.
+
+        :param relay: appends where the log turns this entry away.
+        """
+        self._relay = relay
+        self._hopeless_until = float("-inf")
         self._board = board
         self._follower = follower
         self._appender = appender
@@ -43,6 +73,10 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers are better served here than by another entry."""
+        failed_at = self._appender.failed_at
+        if failed_at is not None:
+            if self._follower.seen_at < failed_at + _CALM_S:
+                return False
         return self._follower.age_s(trio.current_time()) < _READY_S
 
     @property
@@ -110,7 +144,7 @@
         self, job: str, record: keyed_log.KeyedRecord, timeout_s: float
     ) -> None:
         try:
-            await self._appender.append([record], timeout_s)
+            await self._append_somewhere(record, timeout_s)
         except errors.LogRefused as error:
             logs.warn(logs.Part.PLACE, f"Job {job} refused: {error.detail}")
             raise errors.KingcupleverError(
@@ -122,6 +156,57 @@
                 error.detail, errors.Code.OUTCOME_UNKNOWN
             ) from error
 
+    async def _append_somewhere(
+        self, record: keyed_log.KeyedRecord, timeout_s: float
+    ) -> None:
+        """Append here, or have another entry do it.
+
+        :raises errors.LogRefused: surely nobody did it, or will.
+        :raises errors.LogUnavailable: somebody may have done it.
+        """
+        if trio.current_time() < self._hopeless_until:
+            raise errors.LogRefused("Neither the log nor an entry answers.")
+        until = trio.current_time() + timeout_s
+        own = _OwnTry()
+        failure: errors.LogUnavailable | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(own.run, self._appender, record, timeout_s)
+            with trio.move_on_after(_OWN_TRY_S):
+                await own.done.wait()
+            if not own.is_kept:
+                with trio.CancelScope() as helping:
+                    nursery.start_soon(own.cancel_when_kept, helping)
+                    failure = await self._ask_for_help(record, own, until)
+            nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+
+    async def _ask_for_help(
+        self, record: keyed_log.KeyedRecord, own: "_OwnTry", until: float
+    ) -> errors.LogUnavailable | None:
+        """Have another entry append; else wait for what became of our own.
+
+        :return: why the record is not known to be there, if it is not.
+        """
+        is_refused = False
+        left_s = max(0.0, until - trio.current_time())
+        try:
+            await self._relay.append([record], left_s)
+            return None
+        except errors.LogRefused:
+            is_refused = True
+        except errors.LogUnavailable as error:
+            logs.warn(logs.Part.LOG, error.detail)
+        await own.done.wait()
+        if not isinstance(own.error, errors.LogRefused):
+            return own.error
+        if not is_refused:
+            return errors.LogUnavailable(
+                "Another entry may have appended the record."
+            )
+        self._hopeless_until = trio.current_time() + _HOPELESS_S
+        return own.error
+
     async def _refresh(self) -> None:
         try:
             await self._follower.refresh(_REFRESH_S)
@@ -129,3 +214,38 @@
             raise errors.KingcupleverError(
                 error.detail, errors.Code.OVERLOADED
             ) from error
+
+
+class _OwnTry:
+    """This entry's own append of one record.
+
+    :ivar error: why it is not known to be there.
+    """
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.error: errors.LogUnavailable | None = None
+
+    @property
+    def is_kept(self) -> bool:
+        """Whether the log has acknowledged it."""
+        return self.done.is_set() and self.error is None
+
+    async def run(
+        self,
+        appender: producing.GroupAppender,
+        record: keyed_log.KeyedRecord,
+        timeout_s: float,
+    ) -> None:
+        """Append, and remember what became of it."""
+        try:
+            await appender.append([record], timeout_s)
+        except errors.LogUnavailable as error:
+            self.error = error
+        self.done.set()
+
+    async def cancel_when_kept(self, helping: trio.CancelScope) -> None:
+        """End another entry's help once there is no need of it."""
+        await self.done.wait()
+        if self.is_kept:
+            helping.cancel()
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -13,10 +13,13 @@
 
 from kingcuplever import clock
 from kingcuplever.connection import keyed_log
+from kingcuplever.connection import peer as peers
 from kingcuplever import errors
 from kingcuplever import logs
+from kingcuplever import messages
 from kingcuplever import options
 from kingcuplever.process import advisers
+from kingcuplever.process import append_relay
 from kingcuplever.process import job_metrics
 from kingcuplever.process import owner_watch
 from kingcuplever.process import reign as reigns
@@ -106,10 +109,33 @@
         if self._use_intents is not None:
             self._use_intents(self._board.intents)
 
-    async def listen(self) -> None:
-        """Serve sides at the address of its own until cancelled."""
+    async def listen(self, appender: producing.GroupAppender) -> None:
+        """Serve sides, and entries that ask for help, until cancelled.
+
+        :param appender: appends for entries that the log turns away.
+        """
         host, port = options.split_address(self._address)
-        await trio.serve_tcp(self._links.serve, port, host=host)
+
+        async def answer(
+            peer: peers.Peer, message: messages.Message
+        ) -> messages.Message:
+            if isinstance(message, messages.WorkerReport):
+                return await self._links.take(peer, message)
+            if isinstance(message, messages.KeepRecords):
+                return await append_relay.serve(appender, message)
+            raise errors.InvalidRequest("An owner takes reports and records.")
+
+        async def serve(stream: trio.SocketStream) -> None:
+            peer = peers.Peer(stream, answer)
+            try:
+                await peer.run()
+            except* errors.KingcupleverError as group:
+                text = f"A link broke: {group.exceptions[0]}"
+                logs.warn(logs.Part.MEMBER, text)
+            finally:
+                self._links.lost(peer)
+
+        await trio.serve_tcp(serve, port, host=host)
 
     async def run(self) -> None:
         """Watch, claim and decide until cancelled."""
--- a/kingcuplever/process/side_links.py
+++ b/kingcuplever/process/side_links.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 
-import trio
-
 from kingcuplever.connection import peer as peers
 from kingcuplever import errors
 from kingcuplever import logs
@@ -36,17 +34,6 @@
         """Tell whether a side can be reached."""
         return side in self._links
 
-    async def serve(self, stream: trio.SocketStream) -> None:
-        """Serve one side's connection until it ends."""
-        peer = peers.Peer(stream, self._serve)
-        try:
-            await peer.run()
-        except* errors.KingcupleverError as group:
-            text = f"A side's link broke: {group.exceptions[0]}"
-            logs.warn(logs.Part.MEMBER, text)
-        finally:
-            self.lost(peer)
-
     def lost(self, peer: peers.Peer) -> None:
         """A connection has ended; the side that used it is not linked."""
         for side in [s for s, p in self._links.items() if p is peer]:
@@ -70,13 +57,6 @@
         for peer in [*self._links.values()]:
             await peer.close()
 
-    async def _serve(
-        self, peer: peers.Peer, message: messages.Message
-    ) -> messages.Message:
-        if not isinstance(message, messages.WorkerReport):
-            raise errors.InvalidRequest("An owner takes reports only.")
-        return await self.take(peer, message)
-
     async def take(
         self, peer: peers.Peer, message: messages.WorkerReport
     ) -> messages.WorkerReply:
--- a/kingcuplever/process/stored/producing.py
+++ b/kingcuplever/process/stored/producing.py
@@ -136,7 +136,11 @@
 
 
 class GroupAppender:
-    """Gathers the records of many callers into few appends."""
+    """Gathers the records of many callers into few appends.
+
+    :ivar failed_at: steady time of the newest try that failed; absent once
+        one has succeeded.
+    """
 
     def __init__(self, make_producer: Callable[[], Producer]) -> None:
         """Append through producers that nobody else uses.
@@ -144,6 +148,7 @@
         :param make_producer: gives a fresh one whenever the log no longer
             takes the present one's numbers.
         """
+        self.failed_at: float | None = None
         self._make_producer = make_producer
         self._producer = make_producer()
         self._waiting: list[_Entrusted] = []
@@ -192,9 +197,11 @@
             now = trio.current_time()
             try:
                 await self._producer.try_append(records)
+                self.failed_at = None
                 _tell(batch, None)
                 return
             except errors.LogRefused as refusal:
+                self.failed_at = trio.current_time()
                 if doubt_at is None:
                     _tell(batch, refusal)
                     return
@@ -208,6 +215,7 @@
                 self._producer = self._make_producer()
                 return
             except errors.LogUnavailable as error:
+                self.failed_at = trio.current_time()
                 if doubt_at is None:
                     doubt_at = now
                     text = f"An append is in doubt: {error.detail}"
--- a/standins/wire_store.py
+++ b/standins/wire_store.py
@@ -51,6 +51,7 @@
     """Topics in memory.
 
     :ivar down: whether every call is refused.
+    :ivar turned_away: appends of producers whose names begin so are refused.
     :ivar swallow: the next append for which it is true takes effect, and
         its answer is lost.
     :ivar swallowed: how many answers were lost so far.
@@ -62,6 +63,7 @@
     def __init__(self) -> None:
         """Start empty and up."""
         self.down = False
+        self.turned_away = ""
         self.swallow: Predicate | None = None
         self.swallowed = 0
         self._swallow_left = 1
@@ -130,6 +132,8 @@
     ) -> http_server.HttpResponse:
         query = request.query
         name = query["Producer"]
+        if self.turned_away and name.startswith(self.turned_away):
+            return http_server.json_response({"Error": "try later"}, 503)
         epoch, sequence = int(query["epoch"]), int(query["Seq"])
         last = topic.producers.get(name)
         if last is not None and epoch < last.epoch:
--- /dev/null
+++ b/tests/scripted_log.py
@@ -0,0 +1,57 @@
+"""A log that does what a script says, append by append."""
+
+from collections.abc import Sequence
+
+from kingcuplever.connection import keyed_log
+from kingcuplever import errors
+import trio
+
+LOST = "lost"
+REFUSED = "refused"
+FENCED = "fenced"
+
+
+class ScriptedLog:
+    """Answers appends as told, then takes them; a lost one takes effect."""
+
+    def __init__(self, *script: str) -> None:
+        """Follow a script, the last line for good if it ends in ``*``."""
+        self.taken: list[keyed_log.Stamp] = []
+        self.records: list[keyed_log.KeyedRecord] = []
+        self.tries = 0
+        self._script = [*script]
+
+    async def append(
+        self,
+        topic: str,
+        records: Sequence[keyed_log.KeyedRecord],
+        stamp: keyed_log.Stamp,
+        at: int | None = None,
+    ) -> int:
+        """Take an append, or do what the script says."""
+        self.tries += 1
+        await trio.sleep(0.01)
+        line = self._script[0] if self._script else ""
+        if self._script and not line.endswith("*"):
+            self._script.pop(0)
+        if line.startswith(REFUSED):
+            raise errors.LogRefused("turned away")
+        if line.startswith(FENCED):
+            raise errors.LogFenced("another number")
+        if stamp not in self.taken:
+            self.taken.append(stamp)
+            self.records.extend(records)
+        if line.startswith(LOST):
+            await trio.sleep(0.5)
+            raise errors.LogUnavailable("no answer")
+        return len(self.taken)
+
+    async def read(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> keyed_log.Batch:
+        """Give nothing."""
+        return keyed_log.Batch(0, 0, ())
+
+    async def newest(self, topic: str) -> keyed_log.Batch:
+        """Give nothing."""
+        return keyed_log.Batch(0, 0, ())
--- /dev/null
+++ b/tests/test_job_desk.py
@@ -0,0 +1,144 @@
+"""What an entry does with a job that it can't append itself.
+
+The log and the other entry are scripts; the clock is the test's.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from kingcuplever.connection import keyed_log
+from kingcuplever import errors
+from kingcuplever.process import job_desk
+from kingcuplever.process import job_metrics
+from kingcuplever.process.scheduling import model
+from kingcuplever.process.stored import following
+from kingcuplever.process.stored import job_board
+from kingcuplever.process.stored import job_records
+from kingcuplever.process.stored import producing
+import pytest
+from tests import pool
+from tests import scripted_log
+import trio
+import trio.testing
+
+JOB = "a" * 16
+SPEC: model.JobSpec = pool.spec(pool.step())
+
+
+class ScriptedRelay:
+    """Another entry that keeps, refuses or says nothing."""
+
+    def __init__(self, outcome: str) -> None:
+        """Do the same each time."""
+        self.outcome = outcome
+        self.asked = 0
+
+    async def append(
+        self, records: Sequence[keyed_log.KeyedRecord], timeout_s: float
+    ) -> None:
+        """Do as the script says."""
+        self.asked += 1
+        await trio.sleep(0.01)
+        if self.outcome == "refused":
+            raise errors.LogRefused("no help")
+        if self.outcome == "unknown":
+            raise errors.LogUnavailable("no word")
+
+
+class Setting:
+    """A desk between a scripted log and a scripted entry."""
+
+    def __init__(self, relay: str, *script: str) -> None:
+        """Make the parts."""
+        self.log = scripted_log.ScriptedLog(*script)
+        self.relay = ScriptedRelay(relay)
+        self.appender = producing.GroupAppender(
+            lambda: producing.Producer(self.log, "jobs", "entry-1", 1)
+        )
+        board = job_board.JobBoard()
+        self.follower = following.Follower(
+            self.log, job_records.TOPIC, board, 0.1, job_metrics.JobMetrics()
+        )
+        self.desk = job_desk.JobDesk(
+            board, self.follower, self.appender, self.relay
+        )
+
+    def run(self, main: Callable[[], Awaitable[None]]) -> None:
+        """Run a case while the appender works."""
+
+        async def whole() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.appender.run)
+                await main()
+                nursery.cancel_scope.cancel()
+
+        trio.run(whole, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def submit(self) -> str:
+        """Hand the job in; give the code of the answer, or nothing."""
+        try:
+            await self.desk.submit(JOB, SPEC, 3.0)
+        except errors.KingcupleverError as error:
+            return error.code.value
+        return ""
+
+
+@pytest.mark.parametrize(
+    ("script", "relay", "answer", "longest_s"),
+    [
+        ((), "refused", "", 0.01),
+        ((f"{scripted_log.REFUSED}*",), "kept", "", 0.1),
+        ((f"{scripted_log.LOST}*",), "kept", "", 0.5),
+        ((f"{scripted_log.REFUSED}*",), "refused", "OVERLOADED", 0.1),
+        ((f"{scripted_log.REFUSED}*",), "unknown", "OUTCOME_UNKNOWN", 0.1),
+        ((f"{scripted_log.LOST}*",), "refused", "OUTCOME_UNKNOWN", 3.1),
+        ((scripted_log.LOST,), "refused", "", 1.0),
+        ((scripted_log.LOST,), "unknown", "", 1.0),
+    ],
+)
+def test_job_is_kept_by_whoever_can(
+    script: tuple[str, ...], relay: str, answer: str, longest_s: float
+) -> None:
+    setting = Setting(relay, *script)
+
+    async def main() -> None:
+        began_at = trio.current_time()
+        assert await setting.submit() == answer
+        assert trio.current_time() - began_at <= longest_s
+
+    setting.run(main)
+
+
+def test_what_nobody_can_keep_is_refused_at_once_for_a_moment() -> None:
+    setting = Setting("refused", f"{scripted_log.REFUSED}*")
+
+    async def main() -> None:
+        assert await setting.submit() == "OVERLOADED"
+        tries = setting.log.tries
+        began_at = trio.current_time()
+        assert await setting.submit() == "OVERLOADED"
+        assert trio.current_time() == began_at
+        assert setting.log.tries == tries
+        await trio.sleep(0.5)
+        setting.relay.outcome = "kept"
+        assert await setting.submit() == ""
+
+    setting.run(main)
+
+
+def test_entry_whose_appends_fail_asks_for_no_callers() -> None:
+    """Cut off from the store, long before its view counts as old."""
+    setting = Setting("refused", scripted_log.REFUSED)
+
+    async def main() -> None:
+        setting.follower.seen_at = trio.current_time()
+        assert setting.desk.is_ready
+        assert await setting.submit() == "OVERLOADED"
+        assert not setting.desk.is_ready
+        await trio.sleep(0.6)
+        assert not setting.desk.is_ready
+        setting.follower.seen_at = trio.current_time()
+        assert setting.desk.is_ready
+
+    setting.run(main)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -130,6 +130,17 @@
     assert not site.begun(JOB)
 
 
+def test_entry_that_the_log_turns_away_is_helped_by_the_owner(
+    site: wire_site.Site,
+) -> None:
+    entry = other_than(site, site.owner())
+    site.store.turned_away = f"{entry}."
+    answer = site.call(entry, "POST", JOB, wire_site.job(0.3))
+    assert answer.status == 200
+    site.wait_for(site.owner(), JOB, "completed")
+    assert len(site.begun(JOB)) == 1
+
+
 def test_entry_without_the_log_leaves_the_rotation_and_comes_back(
     site: wire_site.Site,
 ) -> None:
