A successor knows old work from young; room is kept for urgent work

Cause 1: to a new owner every run had just begun. Work on a worker that leaves was taken to be nearly done for the same reason. Change: the first list that shows a run says how long it has run, by its progress and the submitter's guess. Change: while urgent jobs keep coming, room for one like the middle one of the last five stays free of work that can wait, an eighth of the pool at most.

--- a/kingcuplever/process/scheduling/book.py
+++ b/kingcuplever/process/scheduling/book.py
@@ -7,6 +7,7 @@
 from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import headroom
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import waiting
 from kingcuplever.process.scheduling import work
@@ -55,6 +56,7 @@
     :ivar said: log lines that are waiting.
     :ivar lost_work: core-seconds thrown away so far, by cause.
     :ivar accounts: what operators promised, and the cells that are kept.
+    :ivar headroom: room that is kept for urgent work.
     :ivar wall_ms: time of day of the present decision.
     """
 
@@ -73,6 +75,7 @@
         self.said: list[Say] = []
         self.lost_work: dict[str, float] = {}
         self.accounts = accounts.Accounts()
+        self.headroom = headroom.Headroom()
         self.wall_ms = 0
 
     def queue_of(self, job: work.Job) -> model.QueuePolicy:
--- a/kingcuplever/process/scheduling/jobs.py
+++ b/kingcuplever/process/scheduling/jobs.py
@@ -44,6 +44,7 @@
             return
         self._book.jobs[name] = job
         self._note_accepted(job)
+        self._note_urgent(job, now)
         for group in job.groups():
             self._adopt(group, now)
         if stored.cancelled:
@@ -68,6 +69,13 @@
             )
             self._book.note(taken)
 
+    def _note_urgent(self, job: work.Job, now: float) -> None:
+        """Remember urgent work; the next may be like it."""
+        queue = self._book.queue_of(job)
+        if queue.priority == 0:
+            step = job.spec.steps[0]
+            self._book.headroom.note(queue.pool, step, step.tasks, now)
+
     def _adopt(self, group: work.Group, now: float) -> None:
         """Take over what a past owner assigned."""
         if not group.vacant:
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -37,8 +37,14 @@
         rooms = {worker.name: worker.free for worker in usable}
         self._claims.set_room_aside(rooms, now)
         look = looks.Look(self._book, usable, rooms, now)
+        kept: set[str] = set()
         self.waiting_for.clear()
         for groups in self._book.ready.in_order(self._rank):
+            queue = self._book.queue_of(waiting.first_of(groups).job)
+            if queue.priority and queue.pool not in kept:
+                kept.add(queue.pool)
+                pool = [w for w in usable if w.pool == queue.pool]
+                self._book.headroom.keep(queue.pool, pool, rooms, now)
             self._place_step(groups, look)
 
     def _place_step(
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -30,7 +30,8 @@
     :ivar percents: reported progress of each member.
     :ivar moved_ms: its worker's clock when each member's progress last
         grew; 0 until it is listed.
-    :ivar begun_at: steady time when the run was first seen running, or 0.
+    :ivar begun_at: steady time when the run began, as far as its first list
+        tells; 0 until then, for another owner's runs as well.
     :ivar ready_at: steady time since when it waits for a place.
     :ivar not_before: steady time before which it is not placed again.
     :ivar avoid: workers on which it failed.
@@ -161,7 +162,7 @@
         self.saved = row.saved
         if len(row.workers) == len(self.holders):
             self.holders = list(row.workers)
-        self.begun_at = self.ready_at = now
+        self.ready_at = now
 
     def note_progress(self, index: int, percent: int, clock_ms: int) -> None:
         """Take in what a member's worker lists.
@@ -173,6 +174,16 @@
             self.percents[index] = percent
             self.moved_ms[index] = clock_ms
 
+    def note_begun(self, percent: int, now: float) -> None:
+        """Take in the first list that shows the run.
+
+        What it has done says how long it has run; a new owner would take
+        old work for young, and cheap to stop.
+        """
+        if not self.begun_at:
+            ran_s = self.spec.estimate_ms / 1000 * percent / _ALL_DONE
+            self.begun_at = now - ran_s
+
     def is_stuck(self, index: int, clock_ms: int, patience_ms: int) -> bool:
         """Tell whether a member should have made progress and has not.
 
--- a/kingcuplever/process/scheduling/workers.py
+++ b/kingcuplever/process/scheduling/workers.py
@@ -120,8 +120,7 @@
         self, group: work.Group, row: fleet.RunningTask, now: float
     ) -> None:
         job = group.job
-        if not group.begun_at:
-            group.begun_at = now
+        group.note_begun(row.percent, now)
         if row.saved:
             group.saved = row.saved
         if job.state == model.PENDING:
--- /dev/null
+++ b/tests/test_loads.py
@@ -0,0 +1,71 @@
+"""Loads that cost worth, each as a pattern without any network."""
+
+from tests import pool
+
+
+def test_room_is_kept_while_urgent_work_keeps_coming() -> None:
+    """A full pool of batch work, an urgent job every few seconds.
+
+    Without the room each of them had to stop two tasks of others first.
+    """
+    running = pool.Pool(3)
+    batch, names = "b" * 16, iter("12345")
+    step = pool.step(90, estimate_ms=600_000)
+    running.submit(batch, pool.spec(step, queue="batch"))
+    running.settle()
+    stopped = []
+    for name in names:
+        job = name * 16
+        running.submit(job, pool.spec(pool.step(2), queue="urgent"))
+        running.settle(8)
+        assert len(running.running(job)) == 2
+        stopped.append(running.scheduler.jobs[batch].evictions)
+        for run, fake in running.running(job).items():
+            fake.end(run, "done")
+        for _ in range(4):
+            run, fake = next(iter(running.running(batch).items()))
+            fake.end(run, "done")
+            running.pass_time(0.5)
+    assert stopped[1] > 0
+    assert stopped[2] == stopped[-1]
+    # Once none has come for a while, the room is used again.
+    running.pass_time(35.0)
+    assert len(running.running(batch)) == 24
+
+
+def test_successor_does_not_stop_what_is_nearly_done() -> None:
+    """An urgent job just after a takeover, in a pool full of batch work.
+
+    To a new owner all work had just begun, so that any of it was cheap to
+    stop: a gang after 24 of its 27 seconds.
+    """
+    running = pool.Pool(2, guaranteed={"stable": 8})
+    old, young = "a" * 16, "b" * 16
+    step = pool.step(gpus=8, estimate_ms=30_000)
+    running.submit(old, pool.spec(step, queue="batch", account="x"))
+    running.settle()
+    running.pass_time(8.0)
+    running.submit(young, pool.spec(step, queue="batch", account="x"))
+    running.pass_time(2.0)
+    running.take_over()
+    running.submit("u" * 16, pool.spec(pool.step(gpus=8), queue="urgent"))
+    running.settle(8)
+    assert len(running.running("u" * 16)) == 1
+    assert len(running.running(old)) == 1
+    assert not running.running(young)
+
+
+def test_successor_knows_how_long_work_still_takes() -> None:
+    """A worker leaves just after a takeover; work that can't end moves."""
+    running = pool.Pool(2)
+    job = "a" * 16
+    step = pool.step(gpus=8, estimate_ms=60_000)
+    running.submit(job, pool.spec(step))
+    running.settle()
+    running.pass_time(8.0)
+    ((_, before),) = running.running(job).items()
+    running.take_over()
+    before.draining = True
+    running.pass_time(1.0)
+    ((_, after),) = running.running(job).items()
+    assert after is not before
