Fault soak: random faults by seed on real processes

Change: soak/ starts entries and sides as processes, each with a proxy of its own to the store, hands jobs in as callers do, and plays a seed's faults: kills, freezes and drains of owner, entries and sides; ways to the store cut, silenced one way, late, reset; the store down, slow, losing answers and its history; workers that fail, crash, drain. It judges by what callers were told and what workers carried out alone: lost, refused, unasked, room, twice, after a noted end, mixed, cancelled too late.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The fault soak: random faults on real processes, by seed."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,59 @@
+"""Runs seeds of the fault soak: ``python -m soak --seeds 1-50``.
+
+Prints a line for each seed; the last lines name the seeds that broke a
+promise, and how to play one again.  Exit code 1 if any did.
+"""
+
+import argparse
+import os
+import sys
+import time
+
+from soak import run
+
+
+def main() -> int:
+    """Run the seeds that the arguments name."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument(
+        "--seeds", default="", help="N or A-B; left out, one from the clock"
+    )
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--sides", type=int, default=4)
+    parser.add_argument(
+        "--seconds", type=float, default=20.0, help="of faults, each seed"
+    )
+    parser.add_argument(
+        "--logs", default="target/soak", help="folder for logs, by seed"
+    )
+    parsed = parser.parse_args()
+    shape = run.Shape(parsed.entries, parsed.sides, parsed.seconds)
+    failed = []
+    for seed in _seeds(parsed.seeds):
+        folder = os.path.join(parsed.logs, str(seed))
+        result = run.run_seed(seed, shape, folder)
+        print(
+            f"seed {seed}: {result.faults} faults, {result.jobs} jobs,"
+            f" {result.accepted} accepted, {result.completed} completed,"
+            f" {len(result.broken)} broken",
+            flush=True,
+        )
+        for line in result.broken:
+            print(f"  {line}", flush=True)
+        if result.broken:
+            failed.append(seed)
+    for seed in failed:
+        print(f"again: python -m soak --seeds {seed}; logs: {parsed.logs}")
+    return 1 if failed else 0
+
+
+def _seeds(text: str) -> range:
+    first, _, last = text.partition("-")
+    if not first:
+        number = int(time.time())
+        return range(number, number + 1)
+    return range(int(first), int(last or first) + 1)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -39,6 +39,11 @@
         self.forward = Direction()
         self.backward = Direction()
 
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return self._listen
+
     async def run(
         self,
         *,
--- a/standins/wire_site.py
+++ b/standins/wire_site.py
@@ -5,6 +5,7 @@
 Only processes that this module started are ever signalled.
 """
 
+from collections.abc import Callable
 import contextlib
 import json
 import os
@@ -25,6 +26,7 @@
 
 from kingcuplever.connection import http_server
 from standins import fleet
+from standins import proxy
 from standins import wire_store
 from standins import wire_worker
 
@@ -68,6 +70,19 @@
         """Start it again after it was ended."""
         self._running = self._start()
 
+    def pause(self) -> None:
+        """Freeze it."""
+        self._running.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let it go on."""
+        self._running.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to end; do not wait."""
+        if self._running.poll() is None:
+            self._running.terminate()
+
     def hang_up(self) -> None:
         """Send it SIGHUP."""
         self._running.send_signal(signal.SIGHUP)
@@ -103,8 +118,21 @@
 class Site:
     """A store, some workers with their sides, and some entries."""
 
-    def __init__(self, folder: str, entries: int = 2, sides: int = 2) -> None:
-        """Plan the deployment; :meth:`__enter__` starts it."""
+    def __init__(
+        self,
+        folder: str,
+        entries: int = 2,
+        sides: int = 2,
+        proxied: bool = False,
+        lease_ms: int = _LEASE_MS,
+    ) -> None:
+        """Plan the deployment; :meth:`__enter__` starts it.
+
+        :param proxied: each process reaches the store by a proxy of its own.
+        """
+        self._proxied = proxied
+        self._lease_ms = lease_ms
+        self._proxies: dict[str, proxy.Proxy] = {}
         self.store = wire_store.WireStore()
         self.workers: list[wire_worker.WireWorker] = []
         self.entries: dict[str, Process] = {}
@@ -157,6 +185,21 @@
         """End the processes, then the stand-ins."""
         self._stack.close()
 
+    def disturb(self, name: str, **wanted: Any) -> None:
+        """Set faults of one process's way to the store."""
+        trio.from_thread.run(
+            self._proxies[name].control, wanted, trio_token=self._token
+        )
+
+    def call_soon(self, action: Callable[[], None]) -> None:
+        """Have the stand-ins' thread do something."""
+        assert self._token is not None
+        self._token.run_sync_soon(action)
+
+    def address(self, entry: str) -> str:
+        """Give the callers' address of an entry."""
+        return self._plans[entry][1].callers
+
     def configure(self, document: Any) -> None:
         """Write a configuration as the operator does."""
         assert self._token is not None
@@ -246,6 +289,10 @@
                 self.store.handle,
                 stop,
             )
+            for name in self._plans if self._proxied else ():
+                link = proxy.Proxy(fleet.free_address(), self._store_address)
+                self._proxies[name] = link
+                await nursery.start(link.run)
             for number, (role, addresses) in enumerate(self._plans.values()):
                 if role != "side":
                     continue
@@ -267,6 +314,9 @@
     def _write_settings(self, name: str, addresses: _Addresses) -> str:
         path = os.path.join(self._folder, f"{name}.toml")
         port = addresses.peers.partition(":")[2]
+        store = self._store_address
+        if self._proxied:
+            store = self._proxies[name].address
         text = f"""
 NodeName = "{name}"
 Zone = "hall"
@@ -283,11 +333,11 @@
 Cores = 1
 LinkMbps = 1000.0
 [Bounds]
-HoldMaxMs = {_LEASE_MS}
+HoldMaxMs = {self._lease_ms}
 status_s = 120
 GraceS = 6
 [platform]
-Address = "{self._store_address}"
+Address = "{store}"
 """
         pathlib.Path(path).write_text(text, encoding="utf-8")
         return path
--- a/standins/wire_worker.py
+++ b/standins/wire_worker.py
@@ -18,7 +18,7 @@
 
 _BEAT_S: Final = 0.4
 _STEP_S: Final = 0.02
-_GPUS: Final = 8
+GPUS: Final = 8
 
 
 class Begun(NamedTuple):
@@ -40,6 +40,15 @@
     ended_at: float
 
 
+class Noted(NamedTuple):
+    """An end that was acknowledged while its lease had not lapsed."""
+
+    task: str
+    run: int
+    outcome: str
+    at: float
+
+
 class _Run:
     """One running task."""
 
@@ -61,6 +70,7 @@
     """One life of an executor.
 
     :ivar begun: the starts that were carried out, for the test to judge.
+    :ivar noted: the ends that were acknowledged.
     :ivar draining: whether it announces that it leaves.
     :ivar fails_all: whether every task fails soon after its start.
     """
@@ -79,6 +89,7 @@
         """
         self.life = life
         self.begun: list[Begun] = []
+        self.noted: list[Noted] = []
         self.draining = False
         self.fails_all = False
         self._data_centre = data_centre
@@ -93,6 +104,8 @@
         self._ended: list[list[Any]] = []
         self._closed: dict[str, int] = {}
         self._number = 0
+        self._lapsed_upto = 0
+        self._lives = 0
         self._changed = trio.Event()
 
     @property
@@ -114,7 +127,7 @@
         """Answer one HTTP request of the side, or of a test."""
         if request.path == "/truth":
             return http_server.json_response(
-                [row._asdict() for row in self._truth()]
+                [row._asdict() for row in self.truth()]
             )
         if request.path == "/control":
             wanted = http_server.parse_json(request.body)
@@ -152,6 +165,9 @@
 
     async def _hold(self, body: dict[str, Any]) -> http_server.HttpResponse:
         acked = body.get("AckedUpto", 0)
+        for number, task, run, outcome, _ in self._ended:
+            if self._lapsed_upto < number <= acked:
+                self.noted.append(Noted(task, run, outcome, time.time()))
         self._ended = [row for row in self._ended if row[0] > acked]
         if not self._ended and body.get("WaitMs"):
             changed = self._changed
@@ -169,8 +185,22 @@
         facts["ClockMs"] = _clock_ms()
         return http_server.json_response(facts, status)
 
+    def crash(self) -> None:
+        """Begin another life at the same address; all that ran is gone."""
+        for task, run in self._running.items():
+            self._past.append(_truth_of(task, run, "crashed", time.time()))
+        self._lives += 1
+        self.life = f"{self.life.partition('.')[0]}.{self._lives}"
+        self._fence = self._until_ms = self._number = self._lapsed_upto = 0
+        self._running.clear()
+        self._ended.clear()
+        self._closed.clear()
+
     def _advance(self) -> None:
         lapsed = _clock_ms() > self._until_ms
+        if lapsed:
+            # Nobody takes note of an end whose lease is over.
+            self._lapsed_upto = self._number
         for task, run in [*self._running.items()]:
             if lapsed:
                 self._end(task, "lapsed")
@@ -189,7 +219,8 @@
         changed, self._changed = self._changed, trio.Event()
         changed.set()
 
-    def _truth(self) -> list[Truth]:
+    def truth(self) -> list[Truth]:
+        """Give every run that was carried out, the ended ones first."""
         running = [
             _truth_of(task, run, "running", 0.0)
             for task, run in self._running.items()
@@ -220,7 +251,7 @@
             "Slots": 8,
             "State": "draining" if self.draining else "ready",
             "ColdLeftMs": 0,
-            "Capacity": {"Cpu": 128_000, "MemMb": 262_144, "Gpu": _GPUS},
+            "Capacity": {"Cpu": 128_000, "MemMb": 262_144, "Gpu": GPUS},
             "Labels": ["a", self._rack],
             "ClockMs": _clock_ms(),
             "Seq": self._sequence,
