A guarantee is served before anything kept or queued; wider histories

Ruled out: cells not bound, an unfair share of cores (both as promised). Change: what an account's free cells hold is placed or claimed first, within those cells; all else follows in the queue's order. Tests: test_room_kept_for_starving_work_does_not_hold_a_guarantee_up failed before.

--- a/kingcuplever/process/scheduling/claims.py
+++ b/kingcuplever/process/scheduling/claims.py
@@ -8,7 +8,6 @@
 from typing import NamedTuple
 
 from kingcuplever import logs
-from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import book as books
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import look as looks
@@ -25,11 +24,8 @@
 
 
 class _Claim(NamedTuple):
-    """Room for a group; ``slow`` if the promised cells are not near."""
-
     workers: tuple[str, ...]
     made_at: float
-    slow: bool
 
 
 class Claims:
@@ -44,11 +40,6 @@
         """Tell whether room is being cleared for a group."""
         return group in self._claims
 
-    def is_slow(self, group: work.Group) -> bool:
-        """Tell whether a group may go where its own cells are, if apart."""
-        claim = self._claims.get(group)
-        return claim is not None and claim.slow
-
     def set_room_aside(self, rooms: placement.Rooms, now: float) -> None:
         """Take claimed room out of what is free; drop failed claims."""
         for group, claim in [*self._claims.items()]:
@@ -74,14 +65,17 @@
         self._claims.pop(group, None)
 
     def claim_cells(
-        self, group: work.Group, able: list[fleet.Worker], look: looks.Look
+        self,
+        group: work.Group,
+        able: list[fleet.Worker],
+        look: looks.Look,
+        counts: dict[str, int],
     ) -> None:
-        """Clear an account's own cells for a group that they cover."""
-        if group in self._claims:
-            return
-        own = look.own_cells(group)
-        counts = accounts.tasks_by_worker(group, own, able)
-        if counts:
+        """Clear an account's own cells for a group that they cover.
+
+        :param counts: most tasks on each worker that has such cells.
+        """
+        if group not in self._claims:
             workers = [worker for worker in able if worker.name in counts]
             self._claim(group, workers, look, float("inf"), counts)
 
@@ -120,8 +114,7 @@
         plan = search.find(group, able, counts)
         if plan is None or plan.cost > most:
             return
-        slow = plan.slow and bool(counts)
-        self._claims[group] = _Claim(plan.workers, look.now, slow)
+        self._claims[group] = _Claim(plan.workers, look.now)
         self.hold(group, look.rooms)
         self._tell(group, plan, entitled)
         for victim in plan.victims:
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -3,10 +3,12 @@
 from collections.abc import Collection
 
 from kingcuplever import logs
+from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import book as books
 from kingcuplever.process.scheduling import claims
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import look as looks
+from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import placement
 from kingcuplever.process.scheduling import reserve
 from kingcuplever.process.scheduling import waiting
@@ -39,7 +41,14 @@
         look = looks.Look(self._book, usable, rooms, now)
         kept: set[str] = set()
         self.waiting_for.clear()
-        for groups in self._book.ready.in_order(self._rank):
+        steps = self._book.ready.in_order(self._rank)
+        for groups in steps:
+            job = waiting.first_of(groups).job
+            if self._book.accounts.has_cells(job.spec):
+                self._place_in_cells(groups, look)
+        for groups in steps:
+            if not groups:
+                continue
             queue = self._book.queue_of(waiting.first_of(groups).job)
             if queue.priority and queue.pool not in kept:
                 kept.add(queue.pool)
@@ -47,6 +56,26 @@
                 self._book.headroom.keep(queue.pool, pool, rooms, now)
             self._place_step(groups, look)
 
+    def _place_in_cells(
+        self, groups: Collection[work.Group], look: looks.Look
+    ) -> None:
+        """Place what an account's own cells hold, before all else.
+
+        What is kept for others, or comes before it in the queue, has no
+        part in those cells.
+        """
+        first = waiting.first_of(groups)
+        able = look.able(first, self._book.queue_of(first.job).pool)
+        for group in [*groups]:
+            if look.now < group.not_before or look.is_over_limit(group):
+                return
+            own = look.own_cells(group)
+            counts = accounts.tasks_by_worker(group, own, able)
+            if not counts:
+                return
+            if not self._place(group, able, look, counts):
+                self._claims.claim_cells(group, able, look, counts)
+
     def _place_step(
         self, groups: Collection[work.Group], look: looks.Look
     ) -> None:
@@ -54,11 +83,9 @@
         first = waiting.first_of(groups)
         queue = self._book.queue_of(first.job)
         urgent = queue.priority == 0
-        covered = self._book.accounts.has_cells(first.job.spec)
-        insists = urgent or covered
         if urgent:
             look.count_urgent()
-        if not insists and look.is_hopeless(first, queue.pool):
+        if not urgent and look.is_hopeless(first, queue.pool):
             self._wait(first, "no room for all its tasks")
             return
         able = look.able(first, queue.pool)
@@ -67,14 +94,15 @@
         for group in [*groups]:
             if look.now < group.not_before:
                 continue
-            if not insists and look.is_hopeless(group, queue.pool):
+            if not urgent and look.is_hopeless(group, queue.pool):
                 return
+            if group in self._claims and not urgent:
+                self._wait(group, "room is being cleared for it")
+                continue
             if look.is_over_limit(group):
                 self._wait(group, "its account or team is at a limit")
                 return
             placed = self._place(group, able, look)
-            if not placed and covered:
-                self._claims.claim_cells(group, able, look)
             if not placed and urgent:
                 self._claims.claim_urgent(group, able, look)
             if urgent and (placed or group in self._claims):
@@ -82,7 +110,7 @@
             if placed:
                 continue
             self._keep_room(group, able, look)
-            if not insists:
+            if not urgent:
                 if not queue.needs_advice:
                     look.note_failure(group, queue.pool)
                 return
@@ -92,7 +120,6 @@
     ) -> None:
         """Keep what comes free for a group that has waited too long."""
         if group in self._claims:
-            self._wait(group, "room is being cleared for it")
             return
         waited_s = look.now - group.ready_at
         if waited_s <= self._book.policy.patience_s:
@@ -131,16 +158,29 @@
         return (self._book.queue_of(job).priority, job.order, group.step)
 
     def _place(
-        self, group: work.Group, able: list[fleet.Worker], look: looks.Look
+        self,
+        group: work.Group,
+        able: list[fleet.Worker],
+        look: looks.Look,
+        counts: dict[str, int] | None = None,
     ) -> bool:
+        """Place one group, if there is room.
+
+        :param counts: most tasks on each worker, for room that is kept for
+            the group's account; the cells may be in several racks.
+        """
         rooms, now = look.rooms, look.now
         allow_slow = placement.may_be_slow(group, now)
-        allow_slow = allow_slow or self._claims.is_slow(group)
         self._claims.release(group, rooms)
+        usable = rooms
+        if counts:
+            allow_slow = True
+            usable = _limit(rooms, counts, group.spec.need)
+            able = [worker for worker in able if worker.name in counts]
         places = placement.choose(
             group,
             able,
-            rooms,
+            usable,
             lambda name: self._count_on(group, name),
             allow_slow,
             self._book.accounts.strangers_cells(group.job.spec),
@@ -199,3 +239,16 @@
                 waited_ms,
             )
         )
+
+
+def _limit(
+    rooms: placement.Rooms, counts: dict[str, int], need: model.Need
+) -> placement.Rooms:
+    """Give the room of some workers, cut to so many tasks on each."""
+    return {
+        name: rooms[name]._replace(
+            gpus=min(rooms[name].gpus, count * need.gpus)
+        )
+        for name, count in counts.items()
+        if name in rooms
+    }
--- a/kingcuplever/process/scheduling/reclaim.py
+++ b/kingcuplever/process/scheduling/reclaim.py
@@ -18,13 +18,11 @@
     """Room for a group, once the victims are gone.
 
     :ivar cost: core-seconds of work that are thrown away.
-    :ivar slow: the group will be away from its data, or span racks.
     """
 
     workers: tuple[str, ...]
     victims: tuple[work.Group, ...]
     cost: float
-    slow: bool
 
 
 class Search:
@@ -101,7 +99,7 @@
                 self._give_back(victim, rooms)
             rooms[best[1]] = rooms[best[1]].minus(group.spec.need)
             chosen.append(best[1])
-        return Plan(tuple(chosen), tuple(gone), cost, slow)
+        return Plan(tuple(chosen), tuple(gone), cost)
 
     def _offer(
         self,
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -76,6 +76,8 @@
         self.closed: dict[str, int] = {}
         self.refused: dict[fleet.RunId, str] = {}
         self.stalled: set[fleet.RunId] = set()
+        self.deaf = False
+        self.late: list[fleet.StartOrder] = []
         self.begun: list[fleet.StartOrder] = []
         self._number = 0
         self._lapsed_at = 0
@@ -94,6 +96,19 @@
         for run in [*self.running]:
             self.end(run, "lapsed")
         self._lapsed_at = self._number
+        # What arrives with a lease that is over is not carried out.
+        self.late.clear()
+
+    def hear(self, stops_first: bool) -> None:
+        """Carry out late what it was told while it was deaf.
+
+        :param stops_first: newer stops overtake the older starts.
+        """
+        self.deaf = False
+        late, self.late = self.late, []
+        if not stops_first:
+            for order in late:
+                self._start(order)
 
     def obey(self, worker: fleet.Worker) -> None:
         """Carry out what the owner wants of it."""
@@ -102,6 +117,9 @@
                 run = fleet.RunId(end.task, end.run)
                 self.events.append(Event("noted", run, end.outcome))
         self.ended = [end for end in self.ended if end.number > worker.acked]
+        if self.deaf:
+            self.late += worker.starts.values()
+            return
         wanted = {*worker.starts, *worker.stops}
         for run in [*self.refused]:
             if run not in wanted:
@@ -109,17 +127,25 @@
         for run, order in worker.starts.items():
             if run.run <= self.closed.get(run.task, 0):
                 self.refused[run] = "old"
-            elif run not in self.running:
-                self.begun.append(order)
-                self.events.append(Event("begun", run))
-                row = fleet.RunningTask(run.task, run.run, "", 0, 0)
-                self.running[run] = row
+            else:
+                self._start(order)
         for run in worker.stops:
+            self.closed[run.task] = max(run.run, self.closed.get(run.task, 0))
             if run in self.running:
                 self.end(run, "stopped")
             elif all((e.task, e.run) != run for e in self.ended):
                 self.refused[run] = "stopped"
 
+    def _start(self, order: fleet.StartOrder) -> None:
+        run = fleet.RunId(order.task, order.run)
+        is_closed = run.run <= self.closed.get(run.task, 0)
+        if is_closed or run in self.running:
+            return
+        self.begun.append(order)
+        self.events.append(Event("begun", run))
+        row = fleet.RunningTask(run.task, run.run, "", 0, 0)
+        self.running[run] = row
+
     def listing(self, clock_ms: int) -> fleet.Listing:
         """Report what a side would report; tasks go on a little."""
         for run, task in self.running.items():
@@ -158,6 +184,7 @@
         """Start an owner over some workers, three to a rack."""
         self.timing = timing
         self.now = 100.0
+        self.wall_shift_s = 0.0
         self.board = job_board.JobBoard()
         self.offset = 0
         self.events: list[Event] = []
@@ -177,7 +204,7 @@
     @property
     def wall_ms(self) -> int:
         """The time of day."""
-        return int(self.now * 1000)
+        return int((self.now + self.wall_shift_s) * 1000)
 
     def take_over(self) -> None:
         """Lose the owner; another one starts from the log."""
@@ -217,7 +244,7 @@
             if known is not None:
                 fake.obey(known)
             self.scheduler.report(
-                fake.listing(self.wall_ms), self.now, self.wall_ms
+                fake.listing(int(self.now * 1000)), self.now, self.wall_ms
             )
 
     def settle(self, rounds: int = 4) -> None:
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -200,6 +200,23 @@
     assert len(served.running("map")) == 2
 
 
+def test_room_kept_for_starving_work_does_not_hold_a_guarantee_up() -> None:
+    """Dawn maps waited 473 s behind a gang that waited longer."""
+    accounts = (account("maps", ("worker", 2)), account("species"))
+    running = pool.Pool(3)
+    policy = model.Policy(1, {}, {}, accounts, patience_s=5.0)
+    running.scheduler.set_policy(policy)
+    running.pass_time(1.0)
+    for number in range(6):
+        submit(running, gang(f"s{number}", "species", gpus=4))
+    submit(running, gang("large", "species", tasks=3))
+    running.pass_time(8.0)
+    assert not running.running("large")
+    submit(running, gang("map", "maps", tasks=2))
+    running.settle(8)
+    assert len(running.running("map")) == 2
+
+
 shapes = st.lists(
     st.tuples(st.sampled_from(LEVELS), st.integers(1, 4)), max_size=3
 )
--- a/tests/test_job_invariants.py
+++ b/tests/test_job_invariants.py
@@ -276,7 +276,8 @@
         spec = self.specs[task.job]
         for earlier in spec.steps[task.step].after:
             count = spec.steps[earlier].tasks
-            names = {f"{task.job}.0.{earlier}.{n}" for n in range(count)}
+            prefix = f"{task.job}.{task.occurrence}.{earlier}"
+            names = {f"{prefix}.{n}" for n in range(count)}
             assert names <= self.done, f"{run} before {names - self.done}"
         self.check_attempts(run.task)
 
