--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,5 +1,6 @@
 """Runs every measurement: ``make bench``."""
 
+from bench import loads
 from bench import requests
 from bench import scheduling
 
@@ -7,6 +8,7 @@
 def main() -> None:
     """Run the measurements in turn."""
     requests.main()
+    loads.main()
     scheduling.main()
 
 
--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -11,7 +11,6 @@
 
 from bench import workload
 from kingcuplever.connection import keyed_log
-from kingcuplever import intents
 from kingcuplever.process import planner
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import fragmentation
@@ -51,6 +50,7 @@
         self.name = fleet.worker_name("i", machine.worker)
         self.running: dict[fleet.RunId, _Task] = {}
         self.ended: list[fleet.EndedTask] = []
+        self.stopping: set[fleet.RunId] = set()
         self.changed = True
         self.reported_at = float("-inf")
         self._number = 0
@@ -81,7 +81,7 @@
             self.name,
             self.machine.worker,
             workload.PLACE,
-            "workers",
+            workload.POOL,
             workload.CAPACITY,
             ("a", self.machine.rack),
             False,
@@ -100,12 +100,18 @@
     def __init__(
         self,
         machines: list[workload.Machine],
-        accounts: tuple[intents.AccountSpec, ...],
-        patience_s: float,
+        policy: model.Policy,
+        stop_s: float = 0.0,
     ) -> None:
-        """Start with empty workers."""
+        """Start with empty workers.
+
+        :param stop_s: how long a worker takes to stop a task.
+        """
+        self._stop_s = stop_s
+        self._stopping: list[tuple[float, int, _Worker, fleet.RunId]] = []
         self.now = 0.0
         self.board = job_board.JobBoard()
+        self.thrown_away: dict[str, float] = {}
         self.samples: dict[int, list[float]] = {
             size: [] for size in fragmentation.SIZES
         }
@@ -118,9 +124,7 @@
         self._scheduler = schedulers.Scheduler(
             schedulers.Timing(_LOST_AFTER_S, _FOR_GOOD_S)
         )
-        self._scheduler.set_policy(
-            model.Policy(1, {}, {}, accounts, patience_s)
-        )
+        self._scheduler.set_policy(policy)
 
     def run(self, arrivals: list[workload.Arrival], until: float) -> None:
         """Run a whole workload."""
@@ -129,6 +133,7 @@
         while self.now < until:
             while waiting and waiting[-1].at <= self.now:
                 self._submit(waiting.pop())
+            self._end_stopped()
             while self._ends and self._ends[0][0] <= self.now:
                 _, _, worker, task = heapq.heappop(self._ends)
                 if worker.running.get(task.run) is task:
@@ -141,6 +146,8 @@
 
     def _submit(self, arrival: workload.Arrival) -> None:
         spec = planner.make_job(arrival.spec, "plan", 3, self._wall_ms(), True)
+        if arrival.queue:
+            spec = spec._replace(queue=arrival.queue, data_centre="")
         name = arrival.spec.job
         self._append([job_records.submitted(name, spec)])
         self._scheduler.job_changed(
@@ -158,6 +165,7 @@
                 self._append([*changes.records])
                 self._scheduler.committed(changes.number)
             self._obey()
+        self.thrown_away = self._scheduler.lost_work
         self._scheduler.take_said()
         self._scheduler.take_evidence()
 
@@ -182,12 +190,22 @@
                     due_at = self.now + task.seconds
                     number = next(self._numbers)
                     heapq.heappush(self._ends, (due_at, number, worker, task))
-            for run in known.stops:
-                worker.end(run, "stopped")
+            for run in known.stops - worker.stopping:
+                worker.stopping.add(run)
+                stop_at = self.now + self._stop_s
+                number = next(self._numbers)
+                heapq.heappush(self._stopping, (stop_at, number, worker, run))
+            self._end_stopped()
             worker.ended = [
                 row for row in worker.ended if row.number > known.acked
             ]
 
+    def _end_stopped(self) -> None:
+        """End the tasks whose stop has taken its time."""
+        while self._stopping and self._stopping[0][0] <= self.now:
+            _, _, worker, run = heapq.heappop(self._stopping)
+            worker.end(run, "stopped")
+
     def _append(self, records: list[keyed_log.KeyedRecord]) -> None:
         for record in records:
             stored = keyed_log.StoredRecord(
--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -11,6 +11,7 @@
 from kingcuplever.command import tables
 from kingcuplever import intents
 from kingcuplever.process.scheduling import fragmentation
+from kingcuplever.process.scheduling import model
 
 _KINDS: Final = ("urgent", "small", "medium", "large", "dawn")
 _HOUR_S: Final = 3600.0
@@ -45,7 +46,8 @@
 ) -> Outcome:
     """Run a workload through the product's decisions."""
     accounts = accounts or workload.accounts(count)
-    world = emulator.Emulation(workload.workers(count), accounts, _PATIENCE_S)
+    policy = model.Policy(1, {}, {}, accounts, patience_s=_PATIENCE_S)
+    world = emulator.Emulation(workload.workers(count), policy)
     arrivals = workload.arrivals(mix, count, until, seed)
     world.run(arrivals, until)
     started = {}
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -13,6 +13,7 @@
 
 SAMPLE_S: Final = 10.0
 PLACE: Final = "here"
+POOL: Final = "workers"
 GPUS: Final = 8
 # A worker of the brief's size.
 CAPACITY: Final = model.Need(130_000, 256_000, GPUS)
@@ -32,12 +33,14 @@
 
     :ivar kind: its class in the results.
     :ivar seconds: how long it really takes.
+    :ivar queue: queue of the users' platform that it comes by, if any.
     """
 
     at: float
     kind: str
     spec: intents.GangSpec
     seconds: float
+    queue: str = ""
 
 
 class Mix(NamedTuple):
--- a/kingcuplever/process/scheduling/headroom.py
+++ b/kingcuplever/process/scheduling/headroom.py
@@ -19,8 +19,6 @@
 _WINDOW_S: Final = 30.0
 # The next job is taken to be like the middle one of so many.
 _JOBS: Final = 5
-# At most this part of a pool's accelerators is kept idle.
-_MOST_PART: Final = 0.125
 
 
 class _Seen(NamedTuple):
@@ -58,18 +56,20 @@
         pool: str,
         workers: Iterable[fleet.Worker],
         rooms: placement.Rooms,
+        part: float,
         now: float,
     ) -> None:
         """Take room for the next urgent job out of what is free.
 
         :param workers: those of the pool that can take work.
+        :param part: of their accelerators, at most.
         """
         typical = self._typical(pool, now)
         if typical is None:
             return
         here = [worker for worker in workers if not worker.draining]
         whole = sum(worker.capacity.gpus for worker in here)
-        most = int(whole * _MOST_PART) // max(1, typical.need.gpus)
+        most = int(whole * part) // max(1, typical.need.gpus)
         tasks = min(typical.tasks, most)
         by_rack: dict[str, list[fleet.Worker]] = {}
         for worker in here:
--- a/kingcuplever/process/scheduling/model.py
+++ b/kingcuplever/process/scheduling/model.py
@@ -165,6 +165,8 @@
     :ivar guaranteed_gpus: accelerators that an account's jobs of priority
         0 can have at all times, by account.
     :ivar accounts: what operators promised as shapes, and limits.
+    :ivar headroom_part: at most this part of a pool's accelerators is kept
+        idle for urgent work that is likely to come.
     :ivar patience_s: work that has waited longer has room kept for it.
     :ivar worker_failures: failures in a row, over two tasks at least, that
         set a worker aside.
@@ -178,6 +180,7 @@
     patience_s: float = float("inf")
     worker_failures: int = 3
     probation_s: float = 6.0
+    headroom_part: float = 0.125
 
 
 class TaskId(NamedTuple):
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -53,7 +53,8 @@
             if queue.priority and queue.pool not in kept:
                 kept.add(queue.pool)
                 pool = [w for w in usable if w.pool == queue.pool]
-                self._book.headroom.keep(queue.pool, pool, rooms, now)
+                part = self._book.policy.headroom_part
+                self._book.headroom.keep(queue.pool, pool, rooms, part, now)
             self._place_step(groups, look)
 
     def _place_in_cells(
