--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,38 @@
+"""The days of trouble: every pair of kinds strikes together in some day."""
+
+import itertools
+import pathlib
+import random
+import tomllib
+
+from tools import make_days
+
+DAYS = pathlib.Path("deploy/days")
+# Trouble that lasts for less is over before what comes with it begins.
+SPREAD_S = 3.0
+
+
+def test_every_pair_of_kinds_is_in_a_day() -> None:
+    count = len(make_days._TROUBLES)
+    missing = set(itertools.combinations(range(count), 2))
+    for kinds in make_days.choose_days(random.Random(1)):
+        missing -= set(itertools.combinations(kinds, 2))
+    assert missing == set()
+
+
+def test_days_are_as_the_tool_writes_them(tmp_path: pathlib.Path) -> None:
+    rng = random.Random(make_days._SEED)
+    names = set()
+    for number, kinds in enumerate(make_days.choose_days(rng)):
+        text = make_days.write_day(number, kinds, rng)
+        name = f"pairs-{number:02}.toml"
+        names.add(name)
+        assert (DAYS / name).read_text(encoding="utf-8") == text
+    assert names == {path.name for path in DAYS.glob("pairs-*.toml")}
+
+
+def test_days_can_be_read_and_strike_within_the_traffic() -> None:
+    for path in DAYS.glob("*.toml"):
+        day = tomllib.loads(path.read_text(encoding="utf-8"))
+        for trouble in [*day.get("plan", []), *day.get("faults", [])]:
+            assert 0 <= trouble["at"] < 40, path
