--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -143,6 +143,7 @@
                 self.start(name)
             for name in self.options.entry:
                 self.wait_ready(name)
+                self._wait_linked(name)
         except BaseException:
             self.close()
             raise
@@ -217,6 +218,22 @@
         timeout_s = _READY_S + count * _READY_S_PER_PROCESS
         wait_until(is_ready, f"{entry} ready", timeout_s)
 
+    def _wait_linked(self, entry: str) -> None:
+        """Wait until an entry knows every side.
+
+        Who witnesses a key depends on the sides that an entry knows; what
+        is proved of keys holds from then on.
+        """
+
+        def is_linked() -> bool:
+            status, shown = self.operate("GET", "/v1/config", entry=entry)
+            count = len(self.options.side)
+            return status == 200 and len(shown["sides"]) == count
+
+        count = len(self._processes)
+        timeout_s = _READY_S + count * _READY_S_PER_PROCESS
+        wait_until(is_linked, f"{entry} linked", timeout_s)
+
     def operate(
         self, method: str, path: str, value: Any = None, entry: str = ""
     ) -> tuple[int, Any]:
