--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= saddlebrook
+SEEDS ?=
 SOURCES := $(shell find kingcuplever -name '*.py')
 
-.PHONY: setup demo test format binary bench capacity generate clean
+.PHONY: setup demo test format binary bench capacity soak generate clean
 
 setup: $(VENV)/ready
 
@@ -38,10 +39,13 @@
 capacity: setup binary
 	$(BIN)/python -m bench.capacity
 
+soak: setup
+	$(BIN)/python -m soak --seeds "$(SEEDS)"
+
 # Needs the distribution's thrift-compiler; the result is committed.
 generate:
 	thrift -r --gen py:package_prefix=kingcuplever.gen.,enum \
 	    -out kingcuplever/gen kingcuplever/peer.thrift
 
 clean:
-	rm -rf build dist $(VENV) .mypy_cache
+	rm -rf build dist target $(VENV) .mypy_cache
