--- a/kingcuplever/process/append_relay.py
+++ b/kingcuplever/process/append_relay.py
@@ -17,6 +17,7 @@
 from kingcuplever import messages
 from kingcuplever import options
 from kingcuplever.process.stored import job_board
+from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import producing
 
 # An owner that can't be reached by then is no help to a waiting caller.
@@ -95,7 +96,13 @@
 async def serve(
     appender: producing.GroupAppender, wanted: messages.KeepRecords
 ) -> messages.RecordsKept:
-    """Append for another entry, and say what became of it."""
+    """Append for another entry, and say what became of it.
+
+    :raises errors.InvalidRequest: for records that only an owner writes.
+    """
+    for row in wanted.rows:
+        if not job_records.is_callers(row.key):
+            raise errors.InvalidRequest(f"{row.key!r:.40} is no caller's.")
     records = [
         keyed_log.KeyedRecord(row.key, row.value or None)
         for row in wanted.rows
--- a/kingcuplever/process/reign.py
+++ b/kingcuplever/process/reign.py
@@ -39,6 +39,9 @@
 _SUMMARY_S: Final = 10.0
 # How long a resignation may take; without it the others notice the silence.
 _RESIGN_S: Final = 1.0
+# How long the hand-over may wait for the last evidence; what is not written
+# by then, the next owner states anew.
+_LAST_EVIDENCE_S: Final = 0.3
 
 
 class _Entrusted:
@@ -113,8 +116,9 @@
         """Say on the log that nobody decides in this epoch any more."""
         self.lost.set()
         try:
-            with trio.move_on_after(_RESIGN_S):
+            with trio.move_on_after(_LAST_EVIDENCE_S):
                 await self._evidence.flush()
+            with trio.move_on_after(_RESIGN_S):
                 owner = self._renew(RESIGNED)
                 await self._producer.append([job_records.owner(owner)])
         except errors.KingcupleverError as error:
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -156,6 +156,11 @@
         raise plain.FaultyValue([fault]) from error
 
 
+def is_callers(key: str) -> bool:
+    """Tell whether a key is of a record that any entry may write."""
+    return key[:2] in (_SUBMITTED, _CANCELLED)
+
+
 def job_of(key: str) -> str:
     """Give the job that a dropped key belongs to, or an empty text."""
     return key[2:] if key[:2] in (_SUBMITTED, _CANCELLED, _PROGRESS) else ""
--- a/tests/test_job_desk.py
+++ b/tests/test_job_desk.py
@@ -9,6 +9,8 @@
 
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
+from kingcuplever import messages
+from kingcuplever.process import append_relay
 from kingcuplever.process import job_desk
 from kingcuplever.process import job_metrics
 from kingcuplever.process.scheduling import model
@@ -127,6 +129,41 @@
     setting.run(main)
 
 
+@pytest.mark.parametrize(
+    ("script", "outcome"),
+    [
+        ((), messages.KEPT),
+        ((f"{scripted_log.REFUSED}*",), messages.REFUSED),
+        ((f"{scripted_log.LOST}*",), messages.UNKNOWN),
+    ],
+)
+def test_helper_says_what_became_of_the_records(
+    script: tuple[str, ...], outcome: str
+) -> None:
+    setting = Setting("refused", *script)
+    row = messages.KeyedRow(f"s:{JOB}", b"{}")
+
+    async def main() -> None:
+        wanted = messages.KeepRecords((row,), 1000)
+        reply = await append_relay.serve(setting.appender, wanted)
+        assert reply.outcome == outcome
+
+    setting.run(main)
+
+
+@pytest.mark.parametrize("key", ["owner", f"j:{JOB}", "p:x", "config", ""])
+def test_helper_appends_only_what_callers_hand_in(key: str) -> None:
+    setting = Setting("refused")
+    wanted = messages.KeepRecords((messages.KeyedRow(key, b"{}"),), 1000)
+
+    async def main() -> None:
+        with pytest.raises(errors.InvalidRequest):
+            await append_relay.serve(setting.appender, wanted)
+        assert setting.log.tries == 0
+
+    setting.run(main)
+
+
 def test_entry_whose_appends_fail_asks_for_no_callers() -> None:
     """Cut off from the store, long before its view counts as old."""
     setting = Setting("refused", scripted_log.REFUSED)
