Stand-ins take blocks of ports for themselves; a taken listener is named

Change: each process that starts stand-ins holds the first port of a block and gives out the rest; the message of a listener that can't be opened names the address's own error. Tests: a side whose listener is taken ends with 2 and says so.

--- a/kingcuplever/command/main.py
+++ b/kingcuplever/command/main.py
@@ -97,11 +97,19 @@
     try:
         trio.run(start, fleet, name, clients.CLIENTS)
     except* OSError as group:
-        detail = f"{name}: {group.exceptions[0]}; check the listeners."
+        detail = f"{name}: {_first_of(group)}; check the listeners."
         raise errors.SettingsError(detail) from group
     return EXIT_DONE
 
 
+def _first_of(group: BaseExceptionGroup[Exception]) -> BaseException:
+    """Give the first error in a group, however deep it lies."""
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 def _make_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="kingcuplever",
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,8 +4,8 @@
 that this module started are ever signalled.
 """
 
+from collections.abc import Iterator
 import contextlib
-import itertools
 import json
 import os
 import pathlib
@@ -30,18 +30,51 @@
 _READY_S_PER_PROCESS: Final = 1.0
 _POLL_S: Final = 0.05
 _STOP_S: Final = 20.0
-# Below the ports that the kernel gives to outgoing connections; processes
-# that run at once begin at different places.
+# Below the ports that the kernel gives to outgoing connections.  Each process
+# takes blocks for itself, by holding a block's first port.
 _FIRST_PORT: Final = 19_000
-_PORT_COUNT: Final = 13_000
+_BLOCK_PORTS: Final = 100
+_BLOCKS: Final = 130
 _WORKERS_A_RACK: Final = 3
-_PORTS: Final = itertools.count(os.getpid() * 613)
+
+
+class _Ports:
+    """Ports that no other process of these stand-ins is given."""
+
+    def __init__(self) -> None:
+        self._guards: list[socket.socket] = []
+        self._ports: Iterator[int] = iter(())
+
+    def next(self) -> int:
+        """Give the next port of a block of our own."""
+        while True:
+            for port in self._ports:
+                return port
+            first = self._claim_block()
+            self._ports = iter(range(first + 1, first + _BLOCK_PORTS))
+
+    def _claim_block(self) -> int:
+        for number in range(_BLOCKS):
+            block = (os.getpid() + number) % _BLOCKS
+            first = _FIRST_PORT + block * _BLOCK_PORTS
+            guard = socket.socket()
+            try:
+                guard.bind(("127.0.0.1", first))
+            except OSError:
+                guard.close()
+                continue
+            self._guards.append(guard)
+            return first
+        raise RuntimeError("All ports for stand-ins are taken.")
+
+
+_PORTS: Final = _Ports()
 
 
 def free_port() -> int:
     """Give a TCP port of the loopback that nobody uses."""
     while True:
-        port = _FIRST_PORT + next(_PORTS) % _PORT_COUNT
+        port = _PORTS.next()
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -1,6 +1,7 @@
 """The binary as a person meets it: settings, help, exit codes."""
 
 import pathlib
+import socket
 import subprocess
 import sys
 
@@ -56,6 +57,21 @@
     assert "No [entry.amman-1]; there are: jerash-1" in done.stderr
 
 
+def test_listener_that_is_taken_is_named(tmp_path: pathlib.Path) -> None:
+    taken = socket.socket()
+    with taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        good = pathlib.Path("deployments/saddlebrook.toml").read_text()
+        path = tmp_path / "taken.toml"
+        path.write_text(good.replace("127.0.0.1:17401", address))
+        arguments = ("side", "--settings", str(path), "--name", "jerash-w1")
+        done = run_binary(*arguments)
+    assert done.returncode == 2
+    assert "address already in use" in done.stderr.lower()
+
+
 def test_unreachable_entry_has_an_exit_code_of_its_own() -> None:
     address = fleets.free_address()
     done = run_binary("status", "jobs", "--entry", address)
