--- a/soak/faults.py
+++ b/soak/faults.py
@@ -113,6 +113,15 @@
     return act
 
 
+def _configure(site: wire_site.Site, name: str) -> None:
+    site.add_route()
+
+
+def _configure_again(site: wire_site.Site, name: str) -> None:
+    for _ in range(3):
+        site.add_route()
+
+
 def _crash(site: wire_site.Site, name: str) -> None:
     site.call_soon(site.workers[int(name)].crash)
 
@@ -170,6 +179,14 @@
             _worker(fails_all=False),
         ),
         Kind("worker crashes", "worker", 2, _crash, _nothing),
+        Kind("configuration changes", "store", 2, _configure, _nothing),
+        Kind(
+            "configurations in a row",
+            "store",
+            1,
+            _configure_again,
+            _configure_again,
+        ),
         Kind(
             "worker drains",
             "worker",
--- a/soak/run.py
+++ b/soak/run.py
@@ -54,7 +54,7 @@
         trio.run(_disturb, site, callers, planned, shape.seconds)
         workers = [*site.workers]
         seen = judge.collect(callers.told, workers, time.time())
-        broken = judge.judge(seen)
+        broken = judge.judge(seen) + _check_configuration(site)
     (path / "broken.txt").write_text("".join(f"{b}\n" for b in broken))
     return Result(
         seed,
@@ -66,6 +66,18 @@
     )
 
 
+def _check_configuration(site: wire_site.Site) -> list[str]:
+    """Every entry serves the newest configuration's route by now."""
+    prefix = f"/route-{site.version}/" if site.version > 1 else None
+    broken = []
+    for entry in site.entries:
+        answer = site.call(entry, "GET", "", prefix=prefix or wire_site.PREFIX)
+        if answer.status != 200:
+            text = f"CONFIG {entry}: {answer.status} at {site.version}"
+            broken.append(text)
+    return broken
+
+
 async def _disturb(
     site: wire_site.Site,
     callers: clients.Callers,
--- a/standins/wire_site.py
+++ b/standins/wire_site.py
@@ -135,6 +135,7 @@
         self._proxies: dict[str, proxy.Proxy] = {}
         self.store = wire_store.WireStore()
         self.workers: list[wire_worker.WireWorker] = []
+        self.version = 0
         self.entries: dict[str, Process] = {}
         self.sides: dict[str, Process] = {}
         self._folder = folder
@@ -158,7 +159,7 @@
         self._stack.callback(thread.join, _STOP_S)
         self._stack.callback(self._end_serving)
         assert serving.wait(_STOP_S)
-        self.configure(configuration(1))
+        self.add_route()
         for name, (role, addresses) in self._plans.items():
             settings = self._write_settings(name, addresses)
             log = os.path.join(self._folder, f"{name}.log")
@@ -200,6 +201,14 @@
         """Give the callers' address of an entry."""
         return self._plans[entry][1].callers
 
+    def add_route(self) -> None:
+        """Write a newer configuration, with one route more."""
+        self.version += 1
+        extra = [_route(f"/route-{n}/") for n in range(2, self.version + 1)]
+        self.configure(
+            configuration(self.version, Routes=[_route(PREFIX), *extra])
+        )
+
     def configure(self, document: Any) -> None:
         """Write a configuration as the operator does."""
         assert self._token is not None
@@ -345,21 +354,9 @@
 
 def configuration(version: int, **more: Any) -> dict[str, Any]:
     """Make what an operator writes: two queues and two accounts."""
-    route = {
-        "Name": "r-rosters",
-        "Host": HOST,
-        "PathPrefix": PREFIX,
-        "TimeoutMs": 3000,
-        "TargetLatencyMs": 1000,
-        "Priority": 1,
-        "Service": POOL,
-        "MaxAttempts": 3,
-        "Stretch": 3.0,
-        "Public": False,
-    }
     document = {
         "Version": version,
-        "Routes": [route],
+        "Routes": [_route(PREFIX)],
         "Services": [{"Name": POOL, "AdmissionCheck": False}],
         "Limits": {"MaxBodyBytes": 262_144},
         "Tenants": [
@@ -370,6 +367,22 @@
     return document | more
 
 
+def _route(prefix: str) -> dict[str, Any]:
+    """Make one queue."""
+    return {
+        "Name": f"r-{prefix.strip('/')}",
+        "Host": HOST,
+        "PathPrefix": prefix,
+        "TimeoutMs": 3000,
+        "TargetLatencyMs": 1000,
+        "Priority": 1,
+        "Service": POOL,
+        "MaxAttempts": 3,
+        "Stretch": 3.0,
+        "Public": False,
+    }
+
+
 def job(seconds: float, count: int = 1, **more: Any) -> dict[str, Any]:
     """Make a job of one step."""
     step = {"Count": count, "Cpu": 5000, "MemMb": 1000, "Gpu": 1}
--- a/tests/test_wider_histories.py
+++ b/tests/test_wider_histories.py
@@ -78,6 +78,19 @@
         """Check the time of day beside all else."""
         self.latest_ms = max(self.latest_ms, self.pool.wall_ms)
         super().check()
+        self.check_availability()
+
+    def check_availability(self) -> None:
+        """What may not be away is stopped only with cause."""
+        for worker in self.pool.scheduler.workers.values():
+            for run in worker.stops:
+                task = model.parse_task(run.task)
+                assert task is not None
+                group = self.pool.scheduler.jobs[task.job].find(task)
+                if group is None or group.run != run.run:
+                    continue
+                if group.spec.may_miss and task.job not in self.cancelled:
+                    assert worker.draining, f"{run} stopped on {worker.name}"
 
     def check_start(self, run: fleet.RunId) -> None:
         """No occurrence starts before it is due on any clock so far."""
