A side that refused a key may run it by a later claim

A side that once had no slot for a key fenced it for the whole horizon of 10 minutes, so a key that every remaining side had refused once could never run.

Ruled out: the router's queue (the request had a slot each time), the witnesses (both named the runner), the drain itself (cut nothing).

Change: claims count turns. The dispatch carries the turn that it follows, and a side's fence is lifted only by a later one. A witness now replaces a runner only up to the turn that it has fenced.

Also: the stand-in fleet waits until every entry knows every target; two set-ups under a load of 20 began before and met 503.

The model has one witness; two that disagree stay with the older cases.

--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -411,11 +411,12 @@
      - body
      - incarnation
      - join_only
+     - turn
 
     """
 
 
-    def __init__(self, request=None, key=None, idempotent=None, account=None, service_name=None, target=None, timeout_ms=None, headers=None, body=None, incarnation=None, join_only=None,):
+    def __init__(self, request=None, key=None, idempotent=None, account=None, service_name=None, target=None, timeout_ms=None, headers=None, body=None, incarnation=None, join_only=None, turn=None,):
         self.request = request
         self.key = key
         self.idempotent = idempotent
@@ -427,6 +428,7 @@
         self.body = body
         self.incarnation = incarnation
         self.join_only = join_only
+        self.turn = turn
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -498,6 +500,11 @@
                     self.join_only = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.turn = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -555,6 +562,10 @@
             oprot.writeFieldBegin('join_only', TType.BOOL, 11)
             oprot.writeBool(self.join_only)
             oprot.writeFieldEnd()
+        if self.turn is not None:
+            oprot.writeFieldBegin('turn', TType.I64, 12)
+            oprot.writeI64(self.turn)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -714,17 +725,19 @@
      - incarnation
      - replaces
      - since_ms
+     - replaces_turn
 
     """
 
 
-    def __init__(self, request=None, key=None, runner=None, incarnation=None, replaces=None, since_ms=None,):
+    def __init__(self, request=None, key=None, runner=None, incarnation=None, replaces=None, since_ms=None, replaces_turn=None,):
         self.request = request
         self.key = key
         self.runner = runner
         self.incarnation = incarnation
         self.replaces = replaces
         self.since_ms = since_ms
+        self.replaces_turn = replaces_turn
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -765,6 +778,11 @@
                     self.since_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.replaces_turn = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -799,6 +817,10 @@
             oprot.writeFieldBegin('since_ms', TType.I64, 6)
             oprot.writeI64(self.since_ms)
             oprot.writeFieldEnd()
+        if self.replaces_turn is not None:
+            oprot.writeFieldBegin('replaces_turn', TType.I64, 7)
+            oprot.writeI64(self.replaces_turn)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -823,14 +845,16 @@
      - granted
      - runner
      - incarnation
+     - turn
 
     """
 
 
-    def __init__(self, granted=None, runner=None, incarnation=None,):
+    def __init__(self, granted=None, runner=None, incarnation=None, turn=None,):
         self.granted = granted
         self.runner = runner
         self.incarnation = incarnation
+        self.turn = turn
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -856,6 +880,11 @@
                     self.incarnation = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.turn = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -878,6 +907,10 @@
             oprot.writeFieldBegin('incarnation', TType.I64, 3)
             oprot.writeI64(self.incarnation)
             oprot.writeFieldEnd()
+        if self.turn is not None:
+            oprot.writeFieldBegin('turn', TType.I64, 4)
+            oprot.writeI64(self.turn)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2543,6 +2576,7 @@
     (9, TType.STRING, 'body', 'BINARY', None, ),  # 9
     (10, TType.I64, 'incarnation', None, None, ),  # 10
     (11, TType.BOOL, 'join_only', None, None, ),  # 11
+    (12, TType.I64, 'turn', None, None, ),  # 12
 )
 all_structs.append(DispatchReply)
 DispatchReply.thrift_spec = (
@@ -2564,6 +2598,7 @@
     (4, TType.I64, 'incarnation', None, None, ),  # 4
     (5, TType.STRING, 'replaces', 'UTF8', None, ),  # 5
     (6, TType.I64, 'since_ms', None, None, ),  # 6
+    (7, TType.I64, 'replaces_turn', None, None, ),  # 7
 )
 all_structs.append(ClaimReply)
 ClaimReply.thrift_spec = (
@@ -2571,6 +2606,7 @@
     (1, TType.BOOL, 'granted', None, None, ),  # 1
     (2, TType.STRING, 'runner', 'UTF8', None, ),  # 2
     (3, TType.I64, 'incarnation', None, None, ),  # 3
+    (4, TType.I64, 'turn', None, None, ),  # 4
 )
 all_structs.append(RunningRow)
 RunningRow.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -70,6 +70,7 @@
     :ivar incarnation: incarnation of the side that a key is claimed for;
         another one has no memory of it and must not run it.  0 without key.
     :ivar join_only: answer if the key is known here, but do not run it.
+    :ivar turn: which of the key's claims this follows.
     """
 
     request: str
@@ -83,6 +84,7 @@
     body: bytes
     incarnation: int
     join_only: bool
+    turn: int
 
 
 class DispatchReply(NamedTuple):
@@ -110,6 +112,8 @@
     :ivar replaces: side that has fenced the key, so that another may run
         it, or empty.
     :ivar since_ms: wall clock of the entry when this sending came.
+    :ivar replaces_turn: newest claim that the fencing side is known not to
+        run; it may have been chosen once more since.
     """
 
     request: str
@@ -118,6 +122,7 @@
     incarnation: int
     replaces: str
     since_ms: int
+    replaces_turn: int
 
 
 class ClaimReply(NamedTuple):
@@ -125,11 +130,14 @@
 
     :ivar granted: whether the claim holds.
     :ivar runner: who runs the key; empty if it is fenced.
+    :ivar turn: counts the claims of the key in which the runner changed, or
+        was chosen again after it had fenced the key.
     """
 
     granted: bool
     runner: str
     incarnation: int
+    turn: int
 
 
 class RunningRow(NamedTuple):
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -23,7 +23,7 @@
   1: string request, 2: string key, 3: bool idempotent, 4: string account,
   5: string service_name, 6: string target, 7: i32 timeout_ms,
   8: list<Header> headers, 9: binary body, 10: i64 incarnation,
-  11: bool join_only
+  11: bool join_only, 12: i64 turn
 }
 
 struct DispatchReply {
@@ -33,11 +33,11 @@
 
 struct Claim {
   1: string request, 2: string key, 3: string runner, 4: i64 incarnation,
-  5: string replaces, 6: i64 since_ms
+  5: string replaces, 6: i64 since_ms, 7: i64 replaces_turn
 }
 
 struct ClaimReply {
-  1: bool granted, 2: string runner, 3: i64 incarnation
+  1: bool granted, 2: string runner, 3: i64 incarnation, 4: i64 turn
 }
 
 struct RunningRow {
--- a/kingcuplever/process/keys.py
+++ b/kingcuplever/process/keys.py
@@ -37,16 +37,20 @@
 
     :ivar runner: the side; empty for a fence.
     :ivar incarnation: of the runner; of a fence, its wall clock.
+    :ivar turn: counts the claims of the key that changed who runs it.
     """
 
     runner: str
     incarnation: int
+    turn: int = 0
 
 
 class _Key:
-    """One key that runs or ran here."""
+    """One key that runs or ran here, by its newest claim."""
 
-    def __init__(self) -> None:
+    def __init__(self, turn: int) -> None:
+        self.turn = turn
+        self.ended_at = 0.0
         self.reply: messages.DispatchReply | None = None
         self.ended = False
         self.fenced = False
@@ -66,17 +70,27 @@
         """Count the remembered keys."""
         return len(self._keys)
 
-    def admit(self, key: str, now: float) -> Admission:
-        """Decide about a dispatch; a new key is remembered at once."""
+    def admit(self, key: str, turn: int, now: float) -> Admission:
+        """Decide about a dispatch; a new key is remembered at once.
+
+        A fenced key runs again only by a later claim that chose this side
+        once more; what was sent by an earlier one can still be on its way.
+
+        :param turn: the claim's.
+        """
         self._forget(now)
         known = self._keys.get(key)
         if known is None:
             if len(self._keys) >= MAX_KEYS:
                 return Admission.FULL
-            self._keys[key] = _Key()
+            self._keys[key] = _Key(turn)
             return Admission.RUN
-        if known.fenced:
+        if known.fenced and turn <= known.turn:
             return Admission.FENCED
+        known.turn = max(turn, known.turn)
+        if known.fenced:
+            known.fenced = known.ended = False
+            return Admission.RUN
         if not known.ended:
             return Admission.JOIN
         if known.reply is not None:
@@ -95,11 +109,12 @@
     def end(self, key: str, reply: messages.DispatchReply, now: float) -> None:
         """Note how a key's run ended.
 
-        A key that did not run is fenced: it never runs here, so that
-        another side may safely run it.
+        A key that did not run is fenced: it does not run here, so that
+        another side may safely run it, until a later claim chooses this one.
         """
         known = self._keys[key]
         known.ended = True
+        known.ended_at = now
         known.fenced = reply.verdict == messages.NOT_RUN
         self._ended.append((now, key))
         size = len(reply.body)
@@ -111,8 +126,12 @@
 
     def _forget(self, now: float) -> None:
         while self._ended and now - self._ended[0][0] > self._horizon_s:
-            _, key = self._ended.popleft()
-            known = self._keys.pop(key)
+            ended_at, key = self._ended.popleft()
+            known = self._keys[key]
+            if not known.ended or known.ended_at > ended_at:
+                # It has run, or has been refused, once more since.
+                continue
+            del self._keys[key]
             if known.reply is not None:
                 self._kept_bytes -= len(known.reply.body)
 
@@ -136,6 +155,7 @@
         replaces: str,
         since_ms: int,
         now: float,
+        replaces_turn: int = 0,
     ) -> tuple[bool, Claimed] | None:
         """Claim a key for a runner, or fence it.
 
@@ -145,22 +165,33 @@
         :param claimed: the runner; without one, the key is fenced.
         :param replaces: side that has fenced the key, or empty.
         :param since_ms: wall clock when this sending came.
+        :param replaces_turn: claim up to which that side has fenced it; a
+            side that was chosen once more since is not replaced.
         :return: whether the claim holds, and who runs the key; ``None`` if
             the table is full.
         """
         self._forget(now)
         wanted = claimed if claimed.runner else Claimed("", since_ms)
-        known = self._claims.pop(key, None)
-        if known is None:
+        entry = self._claims.pop(key, None)
+        if entry is None:
             if len(self._claims) >= MAX_KEYS:
                 return None
+            wanted = wanted._replace(turn=1)
             self._claims[key] = (now, wanted)
             return True, wanted
-        holds = _may_replace(known[1], wanted, replaces, since_ms)
-        if holds and not wanted.runner and not known[1].runner:
-            fenced_ms = max(known[1].incarnation, since_ms)
+        known = entry[1]
+        if replaces and known.turn > replaces_turn:
+            replaces = ""
+        holds = _may_replace(known, wanted, replaces, since_ms)
+        if holds and not wanted.runner and not known.runner:
+            fenced_ms = max(known.incarnation, since_ms)
             wanted = Claimed("", fenced_ms)
-        kept = wanted if holds else known[1]
+        kept = known
+        if holds:
+            again = bool(replaces) and known.runner == replaces
+            chosen = again or known[:2] != wanted[:2]
+            is_new = bool(wanted.runner) and chosen
+            kept = wanted._replace(turn=known.turn + is_new)
         self._claims[key] = (now, kept)
         return holds, kept
 
@@ -176,9 +207,9 @@
 def _may_replace(
     known: Claimed, wanted: Claimed, replaces: str, since_ms: int
 ) -> bool:
-    if known == wanted:
+    if known[:2] == wanted[:2]:
         return True
     if known.runner:
-        return known.runner == replaces
+        return bool(replaces) and known.runner == replaces
     # A fence keeps its time in the place of the incarnation.
     return not wanted.runner or since_ms > known.incarnation + CLOCK_SKEW_MS
--- a/kingcuplever/request/caller.py
+++ b/kingcuplever/request/caller.py
@@ -153,6 +153,7 @@
         self._avoid: set[routers.TargetId] = set()
         self._number = 0
         self._fenced_at = ""
+        self._fenced_turn = 0
         self._at_most_once = bool(spec.key) and not spec.idempotent
 
     async def run(self) -> messages.DispatchReply:
@@ -237,15 +238,17 @@
         self, assignment: routers.Assignment
     ) -> messages.DispatchReply:
         target = assignment.target
+        turn = 0
         if self._at_most_once:
             fate = await self._claim_for(target.side, assignment.incarnation)
+            turn = fate.turn
             if fate.standing is not keyed.Standing.GRANTED:
                 self._router.release_unused(assignment)
                 return await self._follow(fate)
         self._say(assignment)
         started = trio.current_time()
         reply = await self._dispatch(
-            target.side, target.target, assignment.incarnation
+            target.side, target.target, assignment.incarnation, turn
         )
         self._give_back(assignment, reply, trio.current_time() - started)
         return reply
@@ -258,6 +261,7 @@
             incarnation,
             self._since_ms,
             self._fenced_at,
+            self._fenced_turn,
         )
         self._fenced_at = ""
         return fate
@@ -274,7 +278,7 @@
         )
         disputed = fate.standing is keyed.Standing.DISPUTED
         reply = await self._dispatch(
-            fate.runner, "", fate.incarnation, disputed
+            fate.runner, "", fate.incarnation, fate.turn, disputed
         )
         if reply.verdict == messages.NOT_RUN and not self._fenced_at:
             # It was not sent, but an earlier sending may have been.
@@ -286,6 +290,7 @@
         side: str,
         target: str,
         incarnation: int,
+        turn: int,
         join_only: bool = False,
     ) -> messages.DispatchReply:
         link = self._sides.find(side)
@@ -294,7 +299,8 @@
             return _not_run(self._id, f"{side} is not linked")
         if left_s <= 0:
             return _not_run(self._id, "its time is over")
-        message = self._message(target, incarnation, left_s, join_only)
+        message = self._message(target, incarnation, left_s)
+        message = message._replace(join_only=join_only, turn=turn)
         try:
             reply = await link.peer.call(message, left_s + _SIDE_MARGIN_S)
         except errors.PeerLost as error:
@@ -307,10 +313,11 @@
         if checked.verdict == messages.NOT_RUN:
             # The side has seen the key and will not run it any more.
             self._fenced_at = side
+            self._fenced_turn = turn
         return checked
 
     def _message(
-        self, target: str, incarnation: int, left_s: float, join_only: bool
+        self, target: str, incarnation: int, left_s: float
     ) -> messages.Dispatch:
         spec = self._spec
         key = spec.key if self._at_most_once else ""
@@ -325,7 +332,8 @@
             tuple(messages.Header(*pair) for pair in spec.headers),
             spec.body,
             incarnation if key else 0,
-            join_only,
+            False,
+            0,
         )
 
     def _check(
--- a/kingcuplever/request/dispatching.py
+++ b/kingcuplever/request/dispatching.py
@@ -68,6 +68,7 @@
             claim.replaces,
             claim.since_ms,
             trio.current_time(),
+            claim.replaces_turn,
         )
         if found is None:
             raise errors.KingcupleverError(
@@ -75,7 +76,7 @@
                 errors.Code.OVERLOADED,
             )
         granted, known = found
-        return messages.ClaimReply(granted, known.runner, known.incarnation)
+        return messages.ClaimReply(granted, *known)
 
     async def dispatch(
         self, order: messages.Dispatch
@@ -92,7 +93,9 @@
         if order.join_only and not self._keys.knows(order.key):
             detail = f"the key has not come to {self._side}"
             return _reply(order, messages.UNKNOWN, detail)
-        admission = self._keys.admit(order.key, trio.current_time())
+        admission = self._keys.admit(
+            order.key, order.turn, trio.current_time()
+        )
         if admission is keys.Admission.RUN:
             return await self._start(order).wait()
         if admission is keys.Admission.JOIN:
--- a/kingcuplever/request/keyed.py
+++ b/kingcuplever/request/keyed.py
@@ -39,12 +39,14 @@
     """What the witnesses say of a key.
 
     :ivar runner: who runs it, where it is claimed.
+    :ivar turn: which of the key's claims that is.
     """
 
     standing: Standing
     runner: str = ""
     incarnation: int = 0
     detail: str = ""
+    turn: int = 0
 
 
 class Witnesses:
@@ -62,6 +64,7 @@
         incarnation: int,
         since_ms: int,
         replaces: str = "",
+        replaces_turn: int = 0,
     ) -> Fate:
         """Claim a key for a runner, at every witness in turn.
 
@@ -70,11 +73,17 @@
 
         :param runner: the side that is to run it; empty to fence the key.
         :param since_ms: wall clock when this sending of the key came.
-        :param replaces: side that has fenced the key.
+        :param replaces: side that has fenced the key, up to a turn.
         :return: ``GRANTED`` if the claim, or the fence, holds.
         """
         message = messages.Claim(
-            request, key, runner, incarnation, replaces, since_ms
+            request,
+            key,
+            runner,
+            incarnation,
+            replaces,
+            since_ms,
+            replaces_turn,
         )
         fate = Fate(Standing.UNPROVABLE, detail="no side is linked")
         for _ in range(_ROUNDS):
@@ -95,13 +104,13 @@
         """Claim a key at given witnesses, the home last."""
         if not holders:
             return Fate(Standing.UNPROVABLE, detail="no side is linked")
-        granted: list[members.Link] = []
+        granted: dict[str, int] = {}
         for link in reversed(holders):
             reply = await _ask(link, message)
             if isinstance(reply, Fate):
                 return reply
             if reply.granted:
-                granted.append(link)
+                granted[link.side] = reply.turn
                 continue
             if not reply.runner:
                 detail = "the key was fenced after this sending came"
@@ -111,8 +120,10 @@
                 incarnation=reply.incarnation,
                 replaces=message.runner,
             )
-            return await _settle(holders, granted, known)
-        return Fate(Standing.GRANTED)
+            fate = await _settle(holders, granted, known)
+            return fate._replace(turn=reply.turn)
+        # A witness that came later has counted fewer claims.
+        return Fate(Standing.GRANTED, turn=max(granted.values()))
 
 
 async def _ask(
@@ -132,19 +143,22 @@
 
 async def _settle(
     holders: list[members.Link],
-    granted: list[members.Link],
+    granted: dict[str, int],
     known: messages.Claim,
 ) -> Fate:
     """Have all witnesses agree on the runner that one of them knows.
 
-    :param granted: witnesses that have taken this sending's own claim; it
-        is taken back in favour of the known one.
+    :param granted: sides that have witnessed this sending's own claim, with
+        its turn there; it is taken back in favour of the known one.
     :param known: claim for the known runner, replacing this sending's.
     """
     agreed = True
     for link in holders:
-        replaces = known.replaces if link in granted else ""
-        reply = await _ask(link, known._replace(replaces=replaces))
+        turn = granted.get(link.side, 0)
+        claim = known._replace(
+            replaces=known.replaces if turn else "", replaces_turn=turn
+        )
+        reply = await _ask(link, claim)
         if isinstance(reply, Fate) or not reply.granted:
             agreed = False
     standing = Standing.CLAIMED if agreed else Standing.DISPUTED
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -252,16 +252,18 @@
         wait_until(is_ready, f"{entry} ready", timeout_s)
 
     def _wait_linked(self, entry: str) -> None:
-        """Wait until an entry knows every side.
+        """Wait until an entry knows every side and every target.
 
         Who witnesses a key depends on the sides that an entry knows; what
         is proved of keys holds from then on.
         """
 
         def is_linked() -> bool:
-            status, shown = self.operate("GET", "/v1/config", entry=entry)
-            count = len(self.options.side)
-            return status == 200 and len(shown["sides"]) == count
+            _, shown = self.operate("GET", "/v1/config", entry=entry)
+            _, targets = self.operate("GET", "/v1/targets", entry=entry)
+            return len(shown["sides"]) == len(self.options.side) and len(
+                targets
+            ) == len(self.plan.targets)
 
         count = len(self._processes)
         timeout_s = _READY_S + count * _READY_S_PER_PROCESS
