--- a/kingcuplever/process/scheduling/book.py
+++ b/kingcuplever/process/scheduling/book.py
@@ -49,6 +49,7 @@
         forgotten.
     :ivar ready: groups that wait for a place.
     :ivar dirty: jobs whose record must be written.
+    :ivar unkept: groups with a checkpoint that the log does not have.
     :ivar dropped: jobs whose records must be dropped.
     :ivar after: what waits for the next batch.
     :ivar place_wanted: whether something changed that could make room.
@@ -68,6 +69,7 @@
         self.policy = model.Policy(0, {}, {})
         self.ready = waiting.WaitingGroups()
         self.dirty: dict[str, None] = {}
+        self.unkept: dict[work.Group, None] = {}
         self.dropped: list[str] = []
         self.after = AfterCommit()
         self.place_wanted = True
--- a/kingcuplever/process/scheduling/jobs.py
+++ b/kingcuplever/process/scheduling/jobs.py
@@ -233,7 +233,7 @@
         self._book.say(logs.Part.PLACE, text)
         self._book.note(evidence_records.Over(job.name, state, reason))
         if state != model.COMPLETED:
-            self._stop_all(job, reason)
+            self._stop_all(job, state)
         self._close_if_over(job)
 
     def _stop_all(self, job: work.Job, reason: str) -> None:
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -14,6 +14,7 @@
 from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import bindings
 from kingcuplever.process.scheduling import book as books
+from kingcuplever.process.scheduling import checkpoints
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import jobs as job_keepers
 from kingcuplever.process.scheduling import model
@@ -65,6 +66,7 @@
             self._book, self._jobs, timing.lost_after_s
         )
         self._placer = placer.Placer(self._book)
+        self._checkpoints = checkpoints.Checkpoints(self._book)
         self._batches: dict[int, books.AfterCommit] = {}
         self._batch_number = 0
         self._scan_at = 0.0
@@ -158,6 +160,7 @@
             self._jobs.open_due(now, wall_ms)
             self._workers.check(now)
             self._rebind(now)
+            self._checkpoints.mark(now)
             self._jobs.forget_ended(
                 self._status_s * 1000, not self._batches, wall_ms
             )
@@ -180,6 +183,8 @@
             job = self._book.jobs.get(name)
             if job is not None:
                 records.append(job_records.progress(job.record()))
+                for group in job.groups():
+                    group.note_recorded()
         for name in self._book.dropped:
             records.extend(job_records.forgotten(name))
         self._book.dirty.clear()
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -37,6 +37,8 @@
     :ivar avoid: workers on which it failed.
     :ivar tickets: leave of the queue's policy for the present run, by
         worker, where that is needed.
+    :ivar kept: the checkpoint that its newest record names.
+    :ivar kept_percent: its progress when that record was made.
     """
 
     __slots__ = (
@@ -60,6 +62,8 @@
         "not_before",
         "avoid",
         "tickets",
+        "kept",
+        "kept_percent",
     )
 
     def __init__(
@@ -90,6 +94,8 @@
         self.not_before = 0.0
         self.avoid: set[str] = set()
         self.tickets: dict[str, str] = {}
+        self.kept = ""
+        self.kept_percent = 0
 
     @property
     def vacant(self) -> bool:
@@ -111,6 +117,18 @@
         """Accelerators of all its tasks."""
         return self.spec.gpus * len(self.tasks)
 
+    @property
+    def unkept_work(self) -> float:
+        """Core-seconds done since the checkpoint that is on the log."""
+        part = max(0, self.percent - self.kept_percent) / _ALL_DONE
+        run_s = self.spec.estimate_ms / 1000
+        return part * run_s * self._cores * len(self.tasks)
+
+    @property
+    def _cores(self) -> float:
+        """Cores of one member, with its accelerators' weight."""
+        return self.spec.cpu_milli / 1000 + self.spec.gpus * CORES_PER_GPU
+
     def left_s(self, now: float) -> float:
         """Estimate how long it still needs to run.
 
@@ -130,8 +148,7 @@
         ran_s = max(0.0, now - self.begun_at)
         if self.spec.checkpointing:
             ran_s = min(ran_s, _CHECKPOINT_S)
-        cores = self.spec.cpu_milli / 1000 + self.spec.gpus * CORES_PER_GPU
-        return ran_s * cores
+        return ran_s * self._cores
 
     def index_of(self, task: model.TaskId) -> int:
         """Give the number of a task within the group."""
@@ -154,12 +171,17 @@
             tuple(self.holders) if any(self.holders) else (),
         )
 
+    def note_recorded(self) -> None:
+        """Its record was made, with the newest checkpoint."""
+        self.kept = self.saved
+        self.kept_percent = self.percent
+
     def restore(self, row: job_records.GroupProgress, now: float) -> None:
         """Take over what a record says."""
         self.run = row.run
         self.phase = row.phase
         self.failures = row.failures
-        self.saved = row.saved
+        self.saved = self.kept = row.saved
         if len(row.workers) == len(self.holders):
             self.holders = list(row.workers)
         self.ready_at = now
@@ -220,6 +242,7 @@
         self.begun_at = 0.0
         self.percents = [0] * len(self.tasks)
         self.moved_ms = [0] * len(self.tasks)
+        self.kept_percent = 0
 
 
 class Occurrence:
--- a/kingcuplever/process/scheduling/workers.py
+++ b/kingcuplever/process/scheduling/workers.py
@@ -121,8 +121,9 @@
     ) -> None:
         job = group.job
         group.note_begun(row.percent, now)
-        if row.saved:
+        if row.saved and row.saved != group.saved:
             group.saved = row.saved
+            self._book.unkept[group] = None
         if job.state == model.PENDING:
             job.state = model.RUNNING
             self._book.dirty[job.name] = None
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -70,6 +70,7 @@
         self.side = side
         self.rack = rack
         self.draining = False
+        self.saves = False
         self.silent = False
         self.running: dict[fleet.RunId, fleet.RunningTask] = {}
         self.ended: list[fleet.EndedTask] = []
@@ -151,7 +152,8 @@
         for run, task in self.running.items():
             if run not in self.stalled:
                 percent = min(99, task.percent + 1)
-                self.running[run] = task._replace(percent=percent)
+                saved = f"at {percent}" if self.saves else ""
+                self.running[run] = task._replace(percent=percent, saved=saved)
         return fleet.Listing(
             self.name,
             self.side,
