Rounds of maintenance: hosts are emptied and go down few at a time

Ruled out: leaving it unbuilt because a host with a side answers `busy`; a deployment may let hosts go, and the operator must read a true state either way. Emptying the next host after a `busy`: it would close workers and at last stop their work for calls that may never succeed, so from then on only hosts that are empty anyway are tried.

Change: scheduling/maintenance.py decides (pure): the host with least at stake first, no new work there, what runs may end, what has not by the host's share of the round's time is stopped, never more of a step than may be missed. The maintainer asks the platform under the owner's epoch, after an append that shows the epoch valid, and keeps how far the round is on the topic of the jobs, so a successor takes no host down twice. platform/hosts.py translates.

--- /dev/null
+++ b/kingcuplever/platform/hosts.py
@@ -0,0 +1,109 @@
+"""The platform's machines of executors, and the operator's upkeep waves."""
+
+import json
+import secrets
+from typing import Any
+from typing import Final
+
+from kingcuplever.connection import http_client
+from kingcuplever.connection import keyed_log
+from kingcuplever import errors
+from kingcuplever.process.scheduling import rounds
+from kingcuplever.process.stored import producing
+
+STATUS_TOPIC: Final = "status"
+_WAVE: Final = "wave/"
+_UP: Final = "up"
+_CALL_S: Final = 2.0
+_JSON: Final = ("Content-Type", "application/json")
+
+
+def is_wave(key: str) -> bool:
+    """Tell whether a record of the operator orders a wave."""
+    return key.startswith(_WAVE)
+
+
+def decode_wave(value: bytes) -> rounds.Round:
+    """Read the operator's order.
+
+    :raises errors.InvalidRequest: if it can't be understood.
+    """
+    try:
+        document = json.loads(value)
+        return rounds.Round(
+            int(document["Wave"]),
+            tuple(str(name) for name in document["Machines"]),
+            float(document["DurationS"]),
+            max(1, int(document["MaxCount"])),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise errors.InvalidRequest(
+            f"A wave can't be read ({error!r}); it is left alone."
+        ) from error
+
+
+class Hosts:
+    """The one client of the platform's machines in a process."""
+
+    def __init__(
+        self, client: http_client.HttpClient, log: keyed_log.KeyedLog
+    ) -> None:
+        """Use a client whose address is that of the list."""
+        self._client = client
+        self._log = log
+
+    async def list_hosts(self) -> list[rounds.Host]:
+        """Give all machines, page by page."""
+        hosts: list[rounds.Host] = []
+        token = ""
+        while True:
+            path = f"/machines?PageToken={token}" if token else "/machines"
+            page = await self._client.call_json("GET", path, None, _CALL_S)
+            try:
+                hosts += [_decode(row) for row in page["Machines"]]
+                token = page.get("NextToken") or ""
+            except (KeyError, TypeError, AttributeError) as error:
+                raise errors.PlatformFailed(
+                    f"The list of machines can't be read ({error!r})."
+                ) from error
+            if not token:
+                return hosts
+
+    async def take_down(
+        self, step: rounds.Step, holder: str, fence: int
+    ) -> rounds.Outcome:
+        """Have a machine's upkeep begin."""
+        body = {"Machine": step.host, "Wave": step.number}
+        answer = await self._client.call(
+            "POST",
+            "/machine-upkeep",
+            json.dumps(body).encode(),
+            (
+                _JSON,
+                ("X-Kingcuplever-Duty-Holder", holder),
+                ("X-Kingcuplever-Fence-Token", str(fence)),
+            ),
+            _CALL_S,
+        )
+        if answer.status == 200:
+            return rounds.Outcome.BEGUN
+        if answer.status == 409 and b'"wave"' in answer.body:
+            return rounds.Outcome.NOT_PART
+        if answer.status in (400, 409, 429):
+            # 400: it has left meanwhile; the next list says so.
+            return rounds.Outcome.BUSY
+        return rounds.Outcome.UNKNOWN
+
+    async def tell(self, number: int, completed: bool, fence: int) -> None:
+        """Write how far a wave is."""
+        name = f"{STATUS_TOPIC}.{secrets.token_hex(6)}"
+        producer = producing.Producer(self._log, STATUS_TOPIC, name, fence)
+        state = "completed" if completed else "running"
+        value = json.dumps({"Wave": number, "State": state}).encode()
+        record = keyed_log.KeyedRecord(f"{_WAVE}{number}", value)
+        await producer.append([record])
+
+
+def _decode(row: dict[str, Any]) -> rounds.Host:
+    life = row.get("Id") or ""
+    return rounds.Host(str(row["Machine"]), row["State"] == _UP, life)
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -15,6 +15,7 @@
 from kingcuplever.platform import adviser
 from kingcuplever.platform import executor
 from kingcuplever.platform import front
+from kingcuplever.platform import hosts
 from kingcuplever.platform import queues
 from kingcuplever.platform import registry
 from kingcuplever.platform import settings
@@ -40,24 +41,26 @@
 _LEAVE_S: Final = 2.5
 
 
-class _ConfigSink:
-    """Hands every newer configuration to the parts that use one."""
+class _OperatorSink:
+    """Hands what the operator writes to the parts that use it."""
 
     def __init__(self, fronts: front.Front, owner: job_owner.JobOwner) -> None:
         self._front = fronts
         self._owner = owner
 
     def take(self, records: Sequence[keyed_log.StoredRecord]) -> None:
-        """Use the newest readable configuration; never an older one."""
+        """Use what can be read; never an older configuration."""
         for stored in records:
-            if stored.key != queues.CONFIG_KEY or stored.value is None:
+            if stored.value is None:
                 continue
             try:
-                newer = queues.decode_config(stored.value)
+                if stored.key == queues.CONFIG_KEY:
+                    self._use(queues.decode_config(stored.value))
+                elif hosts.is_wave(stored.key):
+                    wave = hosts.decode_wave(stored.value)
+                    self._owner.order_maintenance(wave)
             except errors.InvalidRequest as error:
                 logs.warn(logs.Part.CONFIG, error.detail)
-                continue
-            self._use(newer)
 
     def start_over(self) -> None:
         """Expect the newest record again; what is in force stays."""
@@ -96,6 +99,9 @@
         advice_client = await stack.enter_async_context(
             http_client.HttpClient(host.adviser, leases.ALONE_S)
         )
+        hosts_client = await stack.enter_async_context(
+            http_client.HttpClient(host.hosts, leases.ALONE_S)
+        )
         log = store.Store(client)
         board = job_board.JobBoard()
         follower = following.Follower(
@@ -115,7 +121,9 @@
         desk = job_desk.JobDesk(board, follower, appender, relay)
         fronts = front.Front(desk, metrics)
         timing = schedulers.Timing(
-            leases.lost_after_s(host.lease_ms / 1000), host.status_s
+            leases.lost_after_s(host.lease_ms / 1000),
+            host.status_s,
+            host.down_s,
         )
         owner = job_owner.JobOwner(
             host.name,
@@ -127,8 +135,9 @@
             timing,
             metrics,
             adviser.Adviser(advice_client),
+            hosts.Hosts(hosts_client, log) if host.hosts else None,
         )
-        sink = _ConfigSink(fronts, owner)
+        sink = _OperatorSink(fronts, owner)
         operator = following.Follower(
             log, queues.TOPIC, sink, _RARE_PACE_S, metrics
         )
--- a/kingcuplever/platform/settings.py
+++ b/kingcuplever/platform/settings.py
@@ -11,6 +11,8 @@
 _PATH_VARIABLE: Final = "KINGCUPLEVER_SETTINGS"
 # Where deploy/system.toml says that the metrics are.
 _METRICS_PORT: Final = 9464
+# Where the platform does not say, hosts are taken to come back at once.
+_DOWN_S: Final = 0.0
 
 
 class HostSettings(NamedTuple):
@@ -23,12 +25,14 @@
     :ivar worker: address of the worker beside a side, or empty.
     :ivar peers: address of our own processes' links.
     :ivar adviser: address of the service that advises on queues, or empty.
+    :ivar hosts: address of the list of workers' hosts, or empty.
     :ivar metrics: address of the process's own metrics.
     :ivar log: address of the platform's log.
     :ivar strength: 0 to 1, how much of a host it is beside others.
     :ivar lease_ms: longest lease that a worker grants.
     :ivar status_s: how long an ended job can be asked for.
     :ivar grace_s: from SIGTERM to SIGKILL.
+    :ivar down_s: how long a worker's host is down for its maintenance.
     """
 
     name: str
@@ -40,11 +44,13 @@
     peers: str
     metrics: str
     adviser: str
+    hosts: str
     log: str
     strength: float
     lease_ms: int
     status_s: float
     grace_s: float
+    down_s: float
 
 
 def load() -> HostSettings:
@@ -83,11 +89,13 @@
         peers=f"{host}:{first_port}",
         metrics=f"{host}:{read.at('MetricsPort', int, _METRICS_PORT)}",
         adviser=read.text("Advice", ""),
+        hosts=read.text("Cloud.Address", ""),
         log=read.text("platform.Address"),
         strength=_strength(cores, mbps),
         lease_ms=int(read.number("Bounds.HoldMaxMs")),
         status_s=read.number("Bounds.status_s"),
         grace_s=read.number("Bounds.GraceS"),
+        down_s=read.number("Bounds.UpkeepS", _DOWN_S),
     )
 
 
@@ -136,6 +144,6 @@
         """Give a text."""
         return str(self.at(key, str, default))
 
-    def number(self, key: str) -> float:
+    def number(self, key: str, default: float | None = None) -> float:
         """Give a number."""
-        return float(self.at(key, (int, float)))
+        return float(self.at(key, (int, float), default))
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -21,10 +21,12 @@
 from kingcuplever.process import advisers
 from kingcuplever.process import append_relay
 from kingcuplever.process import job_metrics
+from kingcuplever.process import maintainer
 from kingcuplever.process import owner_watch
 from kingcuplever.process import reign as reigns
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import rounds
 from kingcuplever.process.scheduling import scheduler as schedulers
 from kingcuplever.process import side_links
 from kingcuplever.process.stored import evidence_records
@@ -58,6 +60,7 @@
         timing: schedulers.Timing,
         metrics: job_metrics.JobMetrics,
         adviser: advisers.Adviser | None = None,
+        hosts: maintainer.HostDesk | None = None,
         use_intents: Callable[[intent_board.IntentBoard], None] | None = None,
     ) -> None:
         """Follow; nothing is claimed yet.
@@ -76,6 +79,8 @@
         self._timing = timing
         self._metrics = metrics
         self._adviser = adviser
+        self._hosts = hosts
+        self._orders: dict[int, rounds.Round] = {}
         self._policy = model.Policy(0, {}, {})
         self._links = side_links.SideLinks(self._report, self._side_lost)
         self._reign: reigns.Reign | None = None
@@ -99,6 +104,12 @@
             self._reign.scheduler.set_policy(policy)
             self._reign.wake()
 
+    def order_maintenance(self, order: rounds.Round) -> None:
+        """Follow an operator's round of maintenance."""
+        self._orders[order.number] = order
+        if self._reign is not None:
+            self._reign.scheduler.maintenance.order(order)
+
     def job_changed(self, name: str, job: job_board.StoredJob) -> None:
         """Follow what callers did."""
         if self._reign is not None:
@@ -210,6 +221,8 @@
         scheduler = schedulers.Scheduler(self._timing)
         scheduler.set_policy(self._policy)
         scheduler.load(self._board, trio.current_time(), clock.wall_ms())
+        for order in self._orders.values():
+            scheduler.maintenance.order(order)
         for plan in self._board.intents.plans.values():
             # Evidence of the past owner's last seconds may be lost.
             if plan.decision == "accepted":
@@ -222,6 +235,7 @@
             self._board,
             self._links,
             self._adviser,
+            self._hosts,
             self._metrics,
         )
 
--- a/kingcuplever/process/reign.py
+++ b/kingcuplever/process/reign.py
@@ -17,6 +17,7 @@
 from kingcuplever.process import advisers
 from kingcuplever.process import evidence_writer
 from kingcuplever.process import job_metrics
+from kingcuplever.process import maintainer
 from kingcuplever.process import owner_link
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import fragmentation
@@ -72,6 +73,7 @@
         board: job_board.JobBoard,
         links: side_links.SideLinks,
         adviser: advisers.Adviser | None,
+        hosts: maintainer.HostDesk | None,
         metrics: job_metrics.JobMetrics,
     ) -> None:
         """Begin, with a claim that the log has taken.
@@ -88,6 +90,7 @@
         self._board = board
         self._links = links
         self._adviser = adviser
+        self._hosts = hosts
         self._metrics = metrics
         self._renewal = 0
         self._summed_up_at = trio.current_time()
@@ -109,6 +112,15 @@
             nursery.start_soon(self._append_all)
             nursery.start_soon(self._ask_all)
             nursery.start_soon(self._evidence.run)
+            if self._hosts is not None:
+                upkeep = maintainer.Maintainer(
+                    self.scheduler.maintenance,
+                    self._hosts,
+                    self.keep,
+                    self._owner.entry,
+                    self.epoch,
+                )
+                nursery.start_soon(upkeep.run)
             await self.lost.wait()
             nursery.cancel_scope.cancel()
 
--- a/kingcuplever/process/scheduling/fleet.py
+++ b/kingcuplever/process/scheduling/fleet.py
@@ -125,6 +125,7 @@
     :ivar linked: whether its side is linked now.
     :ivar heard_at: steady time of its last report.
     :ivar clock_ms: its own clock at its last list.
+    :ivar cordoned: it gets no new work, since its host goes down.
     """
 
     def __init__(self, name: str, now: float) -> None:
@@ -151,6 +152,7 @@
         self.acked = 0
         self.orders_changed = False
         self.away_until = 0.0
+        self.cordoned = False
         self._failures = 0
         self._failed_tasks: set[str] = set()
 
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -17,6 +17,7 @@
 from kingcuplever.process.scheduling import checkpoints
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import jobs as job_keepers
+from kingcuplever.process.scheduling import maintenance
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import placer
 from kingcuplever.process.scheduling import work
@@ -38,10 +39,12 @@
     :ivar lost_after_s: silence of a side after which nothing can run on
         its worker any more.
     :ivar status_s: how long an ended job can be asked for.
+    :ivar down_s: how long a host is down for its maintenance.
     """
 
     lost_after_s: float
     status_s: float
+    down_s: float = 0.0
 
 
 class Changes(NamedTuple):
@@ -55,7 +58,10 @@
 
 
 class Scheduler:
-    """Decisions over one pool of jobs and workers."""
+    """Decisions over one pool of jobs and workers.
+
+    :ivar maintenance: rounds in which hosts go down.
+    """
 
     def __init__(self, timing: Timing) -> None:
         """Start without jobs and workers."""
@@ -66,6 +72,7 @@
             self._book, self._jobs, timing.lost_after_s
         )
         self._placer = placer.Placer(self._book)
+        self.maintenance = maintenance.Maintenance(self._book, timing.down_s)
         self._checkpoints = checkpoints.Checkpoints(self._book)
         self._batches: dict[int, books.AfterCommit] = {}
         self._batch_number = 0
@@ -131,6 +138,7 @@
         stored = sorted(board.jobs.items(), key=lambda item: item[1].order)
         for name, job in stored:
             self._jobs.load_job(name, job, now, wall_ms)
+        self.maintenance.load(board.rounds)
 
     def set_policy(self, policy: model.Policy) -> None:
         """Use a new version of the configuration."""
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -102,6 +102,12 @@
         """Whether no task holds room anywhere."""
         return not any(self.holders)
 
+    @property
+    def is_at_work(self) -> bool:
+        """Whether a lasting task serves, and is not being stopped."""
+        ready = self.percent >= _ALL_DONE
+        return self.phase == ASSIGNED and ready and not self.stopping
+
     @property
     def percent(self) -> int:
         """Progress of the member that is furthest behind."""
--- a/kingcuplever/process/stored/job_board.py
+++ b/kingcuplever/process/stored/job_board.py
@@ -8,6 +8,7 @@
 from kingcuplever import logs
 from kingcuplever import plain
 from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import rounds
 from kingcuplever.process.stored import intent_board
 from kingcuplever.process.stored import intent_records
 from kingcuplever.process.stored import job_records
@@ -55,6 +56,7 @@
     :ivar owner: who schedules, as far as the log says.
     :ivar owner_heard: counts the records that only an owner writes.
     :ivar intents: what operators stated.
+    :ivar rounds: how far rounds of maintenance are, by number.
     """
 
     def __init__(self) -> None:
@@ -63,6 +65,7 @@
         self.owner: job_records.Owner | None = None
         self.owner_heard = 0
         self.intents = intent_board.IntentBoard()
+        self.rounds: dict[int, rounds.RoundProgress] = {}
         self.listener: Listener | None = None
         self._offsets: dict[str, int] = {}
 
@@ -106,6 +109,9 @@
         if isinstance(record, job_records.Dropped):
             self._forget(record.key)
             return
+        if isinstance(record, rounds.RoundProgress):
+            self.rounds[record.number] = record
+            return
         if isinstance(
             record,
             intents.Plan | intents.AccountSpec | intent_records.Config,
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -15,7 +15,9 @@
 from kingcuplever.connection import keyed_log
 from kingcuplever import plain
 from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import rounds
 from kingcuplever.process.stored import intent_records
+from kingcuplever.process.stored import maintenance_records
 
 TOPIC: Final = "jobs"
 OWNER_KEY: Final = "owner"
@@ -98,7 +100,13 @@
 
 
 Record = (
-    Submitted | Cancelled | Progress | Owner | Dropped | intent_records.Record
+    Submitted
+    | Cancelled
+    | Progress
+    | Owner
+    | Dropped
+    | rounds.RoundProgress
+    | intent_records.Record
 )
 
 
@@ -180,6 +188,8 @@
         return Progress(key[2:], state, tuple(done), rows, *numbers)
     if key == OWNER_KEY:
         return Owner(*_checked(document, (int, str, str, int, str)))
+    if maintenance_records.is_ours(key):
+        return maintenance_records.read(key, document)
     if intent_records.is_ours(key):
         return intent_records.read(key, document)
     fault = plain.Fault("key", repr(key), "a key of the product")
--- a/standins/wire_site.py
+++ b/standins/wire_site.py
@@ -27,6 +27,7 @@
 from kingcuplever.connection import http_server
 from standins import fleet
 from standins import proxy
+from standins import wire_hosts
 from standins import wire_store
 from standins import wire_worker
 
@@ -135,11 +136,13 @@
         self._proxies: dict[str, proxy.Proxy] = {}
         self.store = wire_store.WireStore()
         self.workers: list[wire_worker.WireWorker] = []
+        self.hosts = wire_hosts.WireHosts(self.workers)
         self.version = 0
         self.entries: dict[str, Process] = {}
         self.sides: dict[str, Process] = {}
         self._folder = folder
         self._store_address = fleet.free_address()
+        self._hosts_address = fleet.free_address()
         self._plans = {
             f"{role}-{number}": (role, _new_addresses())
             for role, count in (("entry", entries), ("side", sides))
@@ -211,8 +214,12 @@
 
     def configure(self, document: Any) -> None:
         """Write a configuration as the operator does."""
+        self.write("config", document)
+
+    def write(self, key: str, document: Any) -> None:
+        """Write one record as the operator does."""
         assert self._token is not None
-        self._token.run_sync_soon(self.store.put, "op", "config", document)
+        self._token.run_sync_soon(self.store.put, "op", key, document)
 
     def call(
         self,
@@ -298,6 +305,12 @@
                 self.store.handle,
                 stop,
             )
+            await nursery.start(
+                http_server.serve,
+                self._hosts_address,
+                self.hosts.handle,
+                stop,
+            )
             for name in self._plans if self._proxied else ():
                 link = proxy.Proxy(fleet.free_address(), self._store_address)
                 self._proxies[name] = link
@@ -347,6 +360,8 @@
 GraceS = 6
 [platform]
 Address = "{store}"
+[Cloud]
+Address = "{self._hosts_address}"
 """
         pathlib.Path(path).write_text(text, encoding="utf-8")
         return path
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -150,6 +150,46 @@
     fleet.wait_until(lambda: site.is_ready("entry-0"), "ready", 2.5)
 
 
+def wave_state(site: wire_site.Site) -> str:
+    """Give what the operator reads of its first wave of upkeep."""
+    values = [v for k, v in site.store.keys("status") if k == "wave/1"]
+    return str(json.loads(values[-1])["State"]) if values else ""
+
+
+def test_wave_of_upkeep_outlives_its_owner(site: wire_site.Site) -> None:
+    owner = site.owner()
+    survivor = other_than(site, owner)
+    site.call(survivor, "POST", JOB, wire_site.job(3.0, count=2, Gpu=8))
+    site.wait_for(survivor, JOB, "running")
+    machines = [f"m-{number}" for number in range(len(site.workers))]
+    wave = {"Wave": 1, "Machines": machines, "DurationS": 20, "MaxCount": 1}
+    site.write("wave/1", wave)
+    fleet.wait_until(lambda: bool(site.hosts.begun), "one is down", 15.0)
+    site.entries[owner].kill()
+    fleet.wait_until(lambda: wave_state(site) == "completed", "all", 25.0)
+    begun = [name for name, _ in site.hosts.begun]
+    fences = [fence for _, fence in site.hosts.begun]
+    assert set(begun) == set(machines)
+    assert fences == sorted(fences)
+    assert site.hosts.most_down == 1
+    assert not site.hosts.killed_runs
+    site.wait_for(survivor, JOB, "completed")
+    assert len(site.begun(JOB)) == 2
+
+
+def test_hosts_that_can_not_go_down_go_on_working(
+    site: wire_site.Site,
+) -> None:
+    site.hosts.busy = True
+    wave = {"Wave": 1, "Machines": ["m-0"], "DurationS": 5, "MaxCount": 1}
+    site.write("wave/1", wave)
+    fleet.wait_until(lambda: wave_state(site) == "running", "the wave")
+    wire_site.wait(2.0)
+    site.call("entry-0", "POST", JOB, wire_site.job(0.3, count=2, Gpu=8))
+    site.wait_for("entry-0", JOB, "completed")
+    assert wave_state(site) == "running"
+
+
 def test_running_task_outlives_a_log_that_is_away(
     site: wire_site.Site,
 ) -> None:
