A new owner hears of the workers before it judges intents

Ruled out: the account (its record was on the log), the takeover (the entry owned).

Change: stating and confirming wait until the owner has settled, two seconds at most; the same bound that keeps findings about missing cells back.

--- a/kingcuplever/process/intent_decider.py
+++ b/kingcuplever/process/intent_decider.py
@@ -69,6 +69,7 @@
         :raises errors.LogUnavailable: the plan may or may not be kept.
         """
         async with self._lock:
+            await self._settle()
             plan = self._draft(intent, operator)
             await self._keep([intent_records.plan(plan), *self._old_plans()])
         outcome = plan.refusal or f"{len(plan.effects)} effects"
@@ -90,11 +91,20 @@
                     f"Plan {name!r:.80} is unknown.", errors.Code.NOT_FOUND
                 )
             if plan.decision == "open":
+                await self._settle()
                 plan = await self._decide(plan, operator)
         text = f"Plan {name} confirmed by {operator}: {plan.decision}."
         logs.info(logs.Part.PLAN, text)
         return plan
 
+    async def _settle(self) -> None:
+        """Let a new owner hear of the workers first.
+
+        It would refuse for good, or find stale, what they can hold.
+        """
+        scheduler = self.reign.scheduler
+        await trio.sleep(scheduler.unsettled_s(trio.current_time()))
+
     def _draft(self, intent: intents.Intent, operator: str) -> intents.Plan:
         found = planner.draft(self._known(), intent)
         return intents.Plan(
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -146,6 +146,10 @@
         self._book.accounts.set_specs(policy.accounts)
         self._book.place_wanted = True
 
+    def unsettled_s(self, now: float) -> float:
+        """Give how long it still has to hear of the workers, in seconds."""
+        return max(0.0, self._settled_at - now)
+
     def job_changed(
         self, name: str, stored: job_board.StoredJob, now: float, wall_ms: int
     ) -> None:
@@ -231,7 +235,7 @@
             and now >= worker.away_until
         ]
         promised.rebind(usable)
-        if now < self._settled_at:
+        if self.unsettled_s(now):
             return
         for spec in promised.specs():
             name = bindings.account_id(spec)
