--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
-import pytest
 import trio
 
 from kingcuplever import errors
@@ -158,8 +157,11 @@
 Scenario = Callable[[worker_agent.WorkerAgent, FakeExecutor], Awaitable[None]]
 
 
-def play(scenario: Scenario, autojump: trio.testing.MockClock) -> None:
-    """Run a scenario beside an agent whose worker has registered."""
+def beside_worker(scenario: Scenario) -> Callable[[], None]:
+    """Make a test that runs beside an agent whose worker has registered.
+
+    Its clock jumps to the next event.
+    """
 
     async def main() -> None:
         fake = FakeExecutor()
@@ -174,277 +176,214 @@
             await scenario(agent, fake)
             nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=autojump)
-
+    def test() -> None:
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
-@pytest.fixture
-def clock() -> trio.testing.MockClock:
-    """Give a clock that jumps to the next event."""
-    return trio.testing.MockClock(autojump_threshold=0)
+    return test
 
 
-def test_start_is_carried_out_and_listed(
-    clock: trio.testing.MockClock,
+@beside_worker
+async def test_start_is_carried_out_and_listed(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        agent.take_orders(orders(1, 1))
-        await trio.sleep(1.5)
-        (report,) = agent.reports()
-        assert [(row.task, row.run) for row in report.running] == [(TASK, 1)]
+    agent.take_orders(orders(1, 1))
+    await trio.sleep(1.5)
+    (report,) = agent.reports()
+    assert [(row.task, row.run) for row in report.running] == [(TASK, 1)]
 
-    play(scenario, clock)
 
-
-def test_orders_of_a_new_owner_are_obeyed_from_its_first(
-    clock: trio.testing.MockClock,
+@beside_worker
+async def test_orders_of_a_new_owner_are_obeyed_from_its_first(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
     # A side that had heard the new epoch in a reply once took the new
     # owner's low numbers for old orders, and never stopped a cancelled task.
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        agent.take_orders(orders(7, 1))
-        await trio.sleep(1.5)
-        agent.heard_owner(2)
-        assert agent.take_orders(orders(1, stops=(1,), epoch=2))
-        await trio.sleep(1.5)
-        assert not fake.running
-
-    play(scenario, clock)
+    agent.take_orders(orders(7, 1))
+    await trio.sleep(1.5)
+    agent.heard_owner(2)
+    assert agent.take_orders(orders(1, stops=(1,), epoch=2))
+    await trio.sleep(1.5)
+    assert not fake.running
 
 
-def test_orders_of_a_past_owner_are_refused(
-    clock: trio.testing.MockClock,
+@beside_worker
+async def test_orders_of_a_past_owner_are_refused(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        agent.heard_owner(2)
-        assert not agent.take_orders(orders(9, 1, epoch=1))
-        await trio.sleep(1.0)
-        assert not fake.calls
+    agent.heard_owner(2)
+    assert not agent.take_orders(orders(9, 1, epoch=1))
+    await trio.sleep(1.0)
+    assert not fake.calls
 
-    play(scenario, clock)
 
-
-def test_unanswered_start_is_tried_until_it_is_there(
-    clock: trio.testing.MockClock,
+@beside_worker
+async def test_unanswered_start_is_tried_until_it_is_there(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        fake.silent_starts = 2
-        agent.take_orders(orders(1, 1))
-        await trio.sleep(2.0)
-        assert len(fake.running) == 1
-
-    play(scenario, clock)
+    fake.silent_starts = 2
+    agent.take_orders(orders(1, 1))
+    await trio.sleep(2.0)
+    assert len(fake.running) == 1
 
 
-def test_refused_start_that_may_come_late_is_closed_first(
-    clock: trio.testing.MockClock,
+@beside_worker
+async def test_refused_start_that_may_come_late_is_closed_first(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        fake.silent_starts = 1
-        fake.start_reason = "unhealthy"
-        agent.take_orders(orders(1, 1))
-        await trio.sleep(2.0)
-        fake.carry_out_late()
-        assert not fake.running
-        (report,) = agent.reports()
-        assert [row.reason for row in report.refused] == ["unhealthy"]
-
-    play(scenario, clock)
-
-
-def test_withdrawn_start_that_may_come_late_is_stopped(
-    clock: trio.testing.MockClock,
+    fake.silent_starts = 1
+    fake.start_reason = "unhealthy"
+    agent.take_orders(orders(1, 1))
+    await trio.sleep(2.0)
+    fake.carry_out_late()
+    assert not fake.running
+    (report,) = agent.reports()
+    assert [row.reason for row in report.refused] == ["unhealthy"]
+
+
+@beside_worker
+async def test_withdrawn_start_that_may_come_late_is_stopped(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        fake.silent_starts = 100
-        agent.take_orders(orders(1, 1))
-        await trio.sleep(1.0)
-        agent.take_orders(orders(2, stops=(1,)))
-        await trio.sleep(2.0)
-        fake.carry_out_late()
-        assert not fake.running
-        (report,) = agent.reports()
-        assert [row.reason for row in report.refused] == ["stopped"]
-
-    play(scenario, clock)
-
-
-def test_draining_worker_starts_nothing(
-    clock: trio.testing.MockClock,
+    fake.silent_starts = 100
+    agent.take_orders(orders(1, 1))
+    await trio.sleep(1.0)
+    agent.take_orders(orders(2, stops=(1,)))
+    await trio.sleep(2.0)
+    fake.carry_out_late()
+    assert not fake.running
+    (report,) = agent.reports()
+    assert [row.reason for row in report.refused] == ["stopped"]
+
+
+@beside_worker
+async def test_draining_worker_starts_nothing(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        agent.registered(registration(sequence=2, draining=True))
-        agent.take_orders(orders(1, 1))
-        await trio.sleep(1.0)
-        assert "start 1" not in fake.calls
-        await trio.sleep(1.0)
-        (report,) = agent.reports()
-        assert report.draining
-        assert [row.reason for row in report.refused] == ["draining"]
-
-    play(scenario, clock)
-
-
-def test_started_task_is_not_refused_when_its_worker_drains(
-    clock: trio.testing.MockClock,
+    agent.registered(registration(sequence=2, draining=True))
+    agent.take_orders(orders(1, 1))
+    await trio.sleep(1.0)
+    assert "start 1" not in fake.calls
+    await trio.sleep(1.0)
+    (report,) = agent.reports()
+    assert report.draining
+    assert [row.reason for row in report.refused] == ["draining"]
+
+
+@beside_worker
+async def test_started_task_is_not_refused_when_its_worker_drains(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
     # The start was accepted, but no list had shown it yet; the side said
     # that it had not run, and the owner started it elsewhere as well.
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        agent.take_orders(orders(1, 1))
-        await trio.sleep(0.1)
-        assert fake.running
-        agent.registered(registration(sequence=2, draining=True))
-        (report,) = agent.reports()
-        assert not report.refused
-        await trio.sleep(2.0)
-        (report,) = agent.reports()
-        assert not report.refused
-        assert len(report.running) == 1
-
-    play(scenario, clock)
-
-
-def test_restarted_side_of_a_draining_worker_refuses_what_is_not_there(
-    clock: trio.testing.MockClock,
+    agent.take_orders(orders(1, 1))
+    await trio.sleep(0.1)
+    assert fake.running
+    agent.registered(registration(sequence=2, draining=True))
+    (report,) = agent.reports()
+    assert not report.refused
+    await trio.sleep(2.0)
+    (report,) = agent.reports()
+    assert not report.refused
+    assert len(report.running) == 1
+
+
+@beside_worker
+async def test_restarted_side_of_a_draining_worker_refuses_what_is_not_there(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        agent.registered(registration(sequence=2, draining=True))
-        run = fleet.RunId(TASK, 1)
-        fake.running[run] = fleet.RunningTask(TASK, 1, "", 0, 0)
-        agent.take_orders(orders(1, 1, 2))
-        await trio.sleep(3.0)
-        (report,) = agent.reports()
-        assert [row.run for row in report.refused] == [2]
-        assert [row.run for row in report.running] == [1]
-        assert fake.calls == ["stop 2"]
-
-    play(scenario, clock)
-
-
-def test_ended_task_is_listed_and_not_refused_as_old(
-    clock: trio.testing.MockClock,
+    agent.registered(registration(sequence=2, draining=True))
+    run = fleet.RunId(TASK, 1)
+    fake.running[run] = fleet.RunningTask(TASK, 1, "", 0, 0)
+    agent.take_orders(orders(1, 1, 2))
+    await trio.sleep(3.0)
+    (report,) = agent.reports()
+    assert [row.run for row in report.refused] == [2]
+    assert [row.run for row in report.running] == [1]
+    assert fake.calls == ["stop 2"]
+
+
+@beside_worker
+async def test_ended_task_is_listed_and_not_refused_as_old(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
     # A new owner asks again for a start that ended a moment ago.
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        fake.start_reason = "old"
-        await trio.sleep(0.3)
-        fake.ended.append(fleet.EndedTask(1, TASK, 1, "done", ""))
-        agent.take_orders(orders(1, 1))
-        await trio.sleep(0.2)
-        (report,) = agent.reports()
-        assert not report.refused
-        await trio.sleep(2.0)
-        (report,) = agent.reports()
-        assert not report.refused
-        assert [row.outcome for row in report.ended] == ["done"]
-
-    play(scenario, clock)
-
-
-def test_pace_is_set_once_for_each_change(
-    clock: trio.testing.MockClock,
+    fake.start_reason = "old"
+    await trio.sleep(0.3)
+    fake.ended.append(fleet.EndedTask(1, TASK, 1, "done", ""))
+    agent.take_orders(orders(1, 1))
+    await trio.sleep(0.2)
+    (report,) = agent.reports()
+    assert not report.refused
+    await trio.sleep(2.0)
+    (report,) = agent.reports()
+    assert not report.refused
+    assert [row.outcome for row in report.ended] == ["done"]
+
+
+@beside_worker
+async def test_pace_is_set_once_for_each_change(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        agent.take_orders(orders(1, 1))
-        await trio.sleep(1.5)
-        slow = messages.PaceRow(TASK, 1, 50)
-        agent.take_orders(orders(2, paces=(slow,)))
-        await trio.sleep(0.5)
-        agent.take_orders(orders(3, paces=(slow,)))
-        await trio.sleep(0.5)
-        full = messages.PaceRow(TASK, 1, 100)
-        agent.take_orders(orders(4, paces=(full,)))
-        await trio.sleep(0.5)
-        assert fake.calls == ["start 1", "pace 1 50", "pace 1 100"]
-
-    play(scenario, clock)
-
-
-def test_time_until_a_worker_leaves_runs_down(
-    clock: trio.testing.MockClock,
+    agent.take_orders(orders(1, 1))
+    await trio.sleep(1.5)
+    slow = messages.PaceRow(TASK, 1, 50)
+    agent.take_orders(orders(2, paces=(slow,)))
+    await trio.sleep(0.5)
+    agent.take_orders(orders(3, paces=(slow,)))
+    await trio.sleep(0.5)
+    full = messages.PaceRow(TASK, 1, 100)
+    agent.take_orders(orders(4, paces=(full,)))
+    await trio.sleep(0.5)
+    assert fake.calls == ["start 1", "pace 1 50", "pace 1 100"]
+
+
+@beside_worker
+async def test_time_until_a_worker_leaves_runs_down(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
     # Reports repeated what the last registration had said, so that a worker
     # seemed to have as much time left with each of them.
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        now = trio.current_time()
-        leaving = registration("i-1", 2, True, 4000, now)
-        agent.registered(leaving)
-        await trio.sleep(3.0)
-        (report,) = agent.reports()
-        assert 900 <= report.remaining_ms <= 1000
-        await trio.sleep(3.0)
-        (report,) = agent.reports()
-        assert report.remaining_ms == 0
-
-    play(scenario, clock)
-
-
-def test_another_life_ends_the_one_before(
-    clock: trio.testing.MockClock,
+    now = trio.current_time()
+    leaving = registration("i-1", 2, True, 4000, now)
+    agent.registered(leaving)
+    await trio.sleep(3.0)
+    (report,) = agent.reports()
+    assert 900 <= report.remaining_ms <= 1000
+    await trio.sleep(3.0)
+    (report,) = agent.reports()
+    assert report.remaining_ms == 0
+
+
+@beside_worker
+async def test_another_life_ends_the_one_before(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        fake.life = "i-2"
-        agent.registered(registration("i-2"))
-        await trio.sleep(2.0)
-        gone, present = agent.reports()
-        assert (gone.worker, gone.gone) == ("i-1@side-1", True)
-        assert (present.worker, present.gone) == ("i-2@side-1", False)
-
-    play(scenario, clock)
+    fake.life = "i-2"
+    agent.registered(registration("i-2"))
+    await trio.sleep(2.0)
+    gone, present = agent.reports()
+    assert (gone.worker, gone.gone) == ("i-1@side-1", True)
+    assert (present.worker, present.gone) == ("i-2@side-1", False)
 
 
-def test_late_registration_of_a_dead_life_changes_nothing(
-    clock: trio.testing.MockClock,
+@beside_worker
+async def test_late_registration_of_a_dead_life_changes_nothing(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        fake.life = "i-2"
-        agent.registered(registration("i-2"))
-        await trio.sleep(2.0)
-        agent.registered(registration("i-1", sequence=99))
-        agent.registered(registration("i-0"))
-        await trio.sleep(2.0)
-        assert agent.reports()[-1].worker == "i-2@side-1"
-
-    play(scenario, clock)
-
-
-def test_lease_is_prolonged_alone_for_a_bounded_time(
-    clock: trio.testing.MockClock,
+    fake.life = "i-2"
+    agent.registered(registration("i-2"))
+    await trio.sleep(2.0)
+    agent.registered(registration("i-1", sequence=99))
+    agent.registered(registration("i-0"))
+    await trio.sleep(2.0)
+    assert agent.reports()[-1].worker == "i-2@side-1"
+
+
+@beside_worker
+async def test_lease_is_prolonged_alone_for_a_bounded_time(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    async def scenario(
-        agent: worker_agent.WorkerAgent, fake: FakeExecutor
-    ) -> None:
-        await trio.sleep(60.0)
-        alone_s = (fake.until_ms - LEASE_MS) / 1000
-        assert leases.ALONE_S - 2 < alone_s
-        assert alone_s < leases.ALONE_S + 1
-
-    play(scenario, clock)
+    await trio.sleep(60.0)
+    alone_s = (fake.until_ms - LEASE_MS) / 1000
+    assert leases.ALONE_S - 2 < alone_s
+    assert alone_s < leases.ALONE_S + 1
