Say how long a pool had no owner, where a job's time went, how old a view is

The owner's line at a job's end now gives the time since acceptance, to its first place, and the runs; a takeover says for how long no owner was heard (kingcuplever_job_ownerless_seconds); a state shown from an old view is logged (kingcuplever_job_view_age_seconds). No decision changes.

--- a/kingcuplever/platform/front.py
+++ b/kingcuplever/platform/front.py
@@ -132,12 +132,21 @@
                 f"Job {job} is not of {account}.", errors.Code.FORBIDDEN
             )
         if request.method == "GET":
+            self._note_view(job, found.state)
             return http_server.json_response({"State": found.state})
         if request.method == "DELETE":
             await self._desk.cancel(job, timeout_s)
             return http_server.json_response({})
         raise errors.InvalidRequest(f"A job takes no {request.method}.")
 
+    def _note_view(self, job: str, state: str) -> None:
+        """Say how old the view is that a state is shown from."""
+        age_s = self._desk.view_age_s
+        self._metrics.view_age_seconds.observe(age_s)
+        if age_s > job_desk.VIEW_S:
+            text = f"Job {job} is shown as {state}, as of {age_s:.1f} s ago."
+            logs.info(logs.Part.ROUTE, text)
+
 
 def _time_left_s(request: http_server.HttpRequest) -> float:
     """Give how long a caller's answer may take."""
--- a/kingcuplever/process/job_desk.py
+++ b/kingcuplever/process/job_desk.py
@@ -79,10 +79,15 @@
                 return False
         return self._follower.age_s(trio.current_time()) < _READY_S
 
+    @property
+    def view_age_s(self) -> float:
+        """Time since the jobs were last read from the log, in seconds."""
+        return self._follower.age_s(trio.current_time())
+
     @property
     def is_fresh(self) -> bool:
         """Whether the jobs have been read from the log recently."""
-        return self._follower.age_s(trio.current_time()) < VIEW_S
+        return self.view_age_s < VIEW_S
 
     async def submit(
         self, job: str, spec: model.JobSpec, timeout_s: float
--- a/kingcuplever/process/job_metrics.py
+++ b/kingcuplever/process/job_metrics.py
@@ -48,6 +48,18 @@
             "Epoch that this entry owned last.",
             registry=self.registry,
         )
+        self.ownerless_seconds = prometheus_client.Histogram(
+            "kingcuplever_job_ownerless_seconds",
+            "Time from an owner's last record to this entry's takeover.",
+            buckets=_SHORT_S,
+            registry=self.registry,
+        )
+        self.view_age_seconds = prometheus_client.Histogram(
+            "kingcuplever_job_view_age_seconds",
+            "Age of the jobs' view from which a state was shown.",
+            buckets=_SHORT_S,
+            registry=self.registry,
+        )
         self.jobs = prometheus_client.Gauge(
             "kingcuplever_scheduled_jobs",
             "Jobs that are not over, as the owner holds them.",
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -151,9 +151,10 @@
     async def run(self) -> None:
         """Watch, claim and decide until cancelled."""
         while not self._resigned:
-            await self._wait_for_silence()
+            watch = await self._wait_for_silence()
             reign = await self._claim()
             if reign is not None:
+                self._note_takeover(reign.epoch, watch)
                 await self._decide(reign)
 
     async def resign(self) -> None:
@@ -162,8 +163,11 @@
         if self._reign is not None:
             await self._reign.resign()
 
-    async def _wait_for_silence(self) -> None:
-        """Return once no owner has been heard for long enough."""
+    async def _wait_for_silence(self) -> owner_watch.OwnerWatch:
+        """Return once no owner has been heard for long enough.
+
+        :return: what was heard of the owner before.
+        """
         watch = owner_watch.OwnerWatch(self._strength, random.random())
         while True:
             await trio.sleep(_RETRY_S)
@@ -178,7 +182,21 @@
                 trio.current_time(),
             )
             if may_claim and self._policy.version and not self._resigned:
-                return
+                return watch
+
+    def _note_takeover(
+        self, epoch: int, watch: owner_watch.OwnerWatch
+    ) -> None:
+        """Say for how long the pool had no owner."""
+        if epoch == 1:
+            return
+        seconds = watch.silent_s(trio.current_time())
+        self._metrics.ownerless_seconds.observe(seconds)
+        text = (
+            f"Epoch {epoch} follows {seconds:.2f} s after the last record of"
+            " an owner."
+        )
+        logs.info(logs.Part.OWNER, text)
 
     async def _claim(self) -> reigns.Reign | None:
         """Try to become owner."""
--- a/kingcuplever/process/owner_watch.py
+++ b/kingcuplever/process/owner_watch.py
@@ -31,6 +31,10 @@
         self._seen_at = 0.0
         self._first_at: float | None = None
 
+    def silent_s(self, now: float) -> float:
+        """Tell how long no owner's record has been read, in seconds."""
+        return now - self._heard_at
+
     def may_claim(
         self, count: int, seen_at: float, vacant: bool, now: float
     ) -> bool:
--- a/kingcuplever/process/scheduling/jobs.py
+++ b/kingcuplever/process/scheduling/jobs.py
@@ -229,7 +229,11 @@
         job.state = state
         job.ended_ms = wall_ms
         self._book.dirty[job.name] = None
-        text = f"Job {job.name} is {state}: {reason}."
+        text = (
+            f"Job {job.name} is {state}: {reason};"
+            f" {wall_ms - job.spec.accepted_ms} ms after its acceptance,"
+            f" {_describe_start(job)}."
+        )
         self._book.say(logs.Part.PLACE, text)
         self._book.note(evidence_records.Over(job.name, state, reason))
         if state != model.COMPLETED:
@@ -266,3 +270,12 @@
             if name not in self._book.jobs and wall_ms > ended_ms + keep_ms:
                 del self._book.over[name]
                 self._book.dropped.append(name)
+
+
+def _describe_start(job: work.Job) -> str:
+    """Tell how long a job waited for its first place, and its most runs."""
+    if not job.begun_ms:
+        return "never placed"
+    waited_ms = job.begun_ms - job.spec.accepted_ms
+    runs = max((group.run for group in job.groups()), default=0)
+    return f"placed after {waited_ms} ms, {runs} runs of a task at most"
