--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -142,3 +142,23 @@
         fake.deaf = False
     running.pass_time(1.0)
     assert len(running.running(urgent)) == 1
+
+
+def test_room_that_comes_free_is_kept_for_waiting_urgent_work() -> None:
+    """SHORT on phulrenu-kl: batch work took what an urgent gang waited for.
+
+    The pool is full, stopping work for the gang is too dear, and its room
+    comes free one worker after another; more batch work waits behind it.
+    """
+    running = pool.Pool(2)
+    batch, urgent = "b" * 16, "a" * 16
+    whole = pool.step(6, gpus=8, cpu_milli=100_000, estimate_ms=20_000)
+    running.submit(batch, pool.spec(whole, queue="batch"))
+    running.pass_time(10.0)
+    gang = pool.step(2, gpus=8, gang=True, same_rack=True)
+    running.submit(urgent, pool.spec(gang, queue="urgent"))
+    for _ in range(2):
+        first = next(iter(running.running(batch)))
+        running.running(batch)[first].end(first, "done")
+        running.pass_time(1.0)
+    assert len(running.running(urgent)) == 2
