Room that comes free is kept for urgent work that waits

Cause: a group without room has some kept only after patience_s, which is infinite on the users' platform. Urgent work that may not stop others (over its price, or only urgent work there) held nothing, so each gap went to what fits one. Class: work is placed greedily where more urgent work waits. Ruled out: wrong order of the queue (urgent steps were tried first each time), missing reports (the gaps were used at once, by others).

Change: an urgent group has room kept at once. What is kept lies in one rack where the work is slow across racks.

--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -119,11 +119,16 @@
     def _keep_room(
         self, group: work.Group, able: list[fleet.Worker], look: looks.Look
     ) -> None:
-        """Keep what comes free for a group that has waited too long."""
+        """Keep what comes free for a group that has waited too long.
+
+        Urgent work does not wait for that: what is placed behind it would
+        hold the room for longer than it may take.
+        """
         if group in self._claims:
             return
+        urgent = self._book.queue_of(group.job).priority == 0
         waited_s = look.now - group.ready_at
-        if waited_s <= self._book.policy.patience_s:
+        if not urgent and waited_s <= self._book.policy.patience_s:
             self._wait(group, "no room for all its tasks")
             return
         kept = reserve.choose(self._book, group, able, look.rooms, look.now)
--- a/kingcuplever/process/scheduling/reserve.py
+++ b/kingcuplever/process/scheduling/reserve.py
@@ -5,11 +5,25 @@
 comes after it in the queue is placed there.
 """
 
+from typing import Final
+from typing import NamedTuple
+
 from kingcuplever.process.scheduling import book as books
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import placement
 from kingcuplever.process.scheduling import work
 
+# Work in the wrong rack takes so many times as long (the users' sites).
+_SLOW_FACTOR: Final = 3.0
+
+
+class _Offer(NamedTuple):
+    """Room for one more task on a worker, some seconds from now."""
+
+    wait_s: float
+    worker: str
+    rack: str
+
 
 def choose(
     book: books.Book,
@@ -24,14 +38,37 @@
         less than the worker's own.
     :return: one worker for each task, or nothing if they never suffice.
     """
-    offers: list[tuple[float, str]] = []
+    offers: list[_Offer] = []
     for worker in able:
         for wait_s in _waits(book, group, worker, rooms, now):
-            offers.append((wait_s, worker.name))
+            offers.append(_Offer(wait_s, worker.name, worker.rack))
     offers.sort()
-    if len(offers) < len(group.tasks):
-        return ()
-    return tuple(name for _, name in offers[: len(group.tasks)])
+    spec = group.spec
+    slow_s = (_SLOW_FACTOR - 1.0) * spec.estimate_ms / 1000
+    choices: list[tuple[float, tuple[str, ...]]] = []
+    for rack in sorted({offer.rack for offer in offers}):
+        inside = [offer for offer in offers if offer.rack == rack]
+        far = bool(spec.data_rack) and rack != spec.data_rack
+        _add(choices, group, inside, slow_s if far else 0.0)
+    is_bound = bool(spec.data_rack) or (spec.gang and spec.same_rack)
+    _add(choices, group, offers, slow_s if is_bound else 0.0)
+    return min(choices, default=(0.0, ()))[1]
+
+
+def _add(
+    choices: list[tuple[float, tuple[str, ...]]],
+    group: work.Group,
+    offers: list[_Offer],
+    slow_s: float,
+) -> None:
+    """Add the soonest of some offers, if they suffice.
+
+    :param slow_s: how much longer the work takes there.
+    """
+    count = len(group.tasks)
+    if len(offers) >= count:
+        wait_s = offers[count - 1].wait_s + slow_s
+        choices.append((wait_s, tuple(o.worker for o in offers[:count])))
 
 
 def _waits(
