Room kept for the next urgent job leaves whole workers whole

Cause: the room that is kept for an urgent job like those of late was taken one accelerator after another from the emptiest worker of a rack, so that none of its workers was whole for half a minute. Ruled out: room kept for waiting urgent work (none waited), labels and limits (none on that job).

Change: nothing is kept while half of the pool is free, and what is kept is where least is to spare.

--- a/kingcuplever/process/scheduling/headroom.py
+++ b/kingcuplever/process/scheduling/headroom.py
@@ -61,6 +61,9 @@
     ) -> None:
         """Take room for the next urgent job out of what is free.
 
+        Nothing is taken while half of the pool is free: there is room for
+        both.
+
         :param workers: those of the pool that can take work.
         :param part: of their accelerators, at most.
         """
@@ -69,6 +72,9 @@
             return
         here = [worker for worker in workers if not worker.draining]
         whole = sum(worker.capacity.gpus for worker in here)
+        free = sum(max(0, rooms[worker.name].gpus) for worker in here)
+        if free * 2 >= whole:
+            return
         most = int(whole * part) // max(1, typical.need.gpus)
         tasks = min(typical.tasks, most)
         by_rack: dict[str, list[fleet.Worker]] = {}
@@ -80,8 +86,7 @@
             default=[],
         )
         for _ in range(tasks if best else 0):
-            # A worker that lacks room now gets it as its tasks end.
-            worker = max(best, key=lambda item: rooms[item.name].gpus)
+            worker = _choose(best, rooms, typical.need)
             rooms[worker.name] = rooms[worker.name].minus(typical.need)
 
     def _typical(self, pool: str, now: float) -> _Seen | None:
@@ -93,6 +98,20 @@
         return next(one for one in reversed(recent) if one.gpus == middle)
 
 
+def _choose(
+    workers: list[fleet.Worker], rooms: placement.Rooms, need: model.Need
+) -> fleet.Worker:
+    """Choose where one task has least room to spare.
+
+    Whole workers stay whole for work that needs them.  Where it fits nowhere
+    it is the emptiest worker, which gets room as its tasks end.
+    """
+    fitting = [w for w in workers if need.fits(rooms[w.name])]
+    if fitting:
+        return min(fitting, key=lambda worker: rooms[worker.name].gpus)
+    return max(workers, key=lambda worker: rooms[worker.name].gpus)
+
+
 def _count(
     workers: list[fleet.Worker], rooms: placement.Rooms, need: model.Need
 ) -> int:
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -162,3 +162,40 @@
         running.running(batch)[first].end(first, "done")
         running.pass_time(1.0)
     assert len(running.running(urgent)) == 2
+
+
+def test_room_kept_for_urgent_work_leaves_whole_workers_whole() -> None:
+    """LOST on phulrenu-kl: a job of whole workers waited in an idle pool.
+
+    The room for the next urgent job was taken from each worker of a rack in
+    turn, so that none of them was whole for half a minute.
+    """
+    running = pool.Pool(3)
+    for name in "12":
+        running.submit(name * 16, pool.spec(pool.step(3), queue="urgent"))
+        running.settle()
+        running.end(name * 16, "done")
+        running.settle()
+    batch = "b" * 16
+    whole = pool.step(2, gpus=8, estimate_ms=60_000)
+    running.submit(batch, pool.spec(whole, queue="batch"))
+    running.settle()
+    assert len(running.running(batch)) == 2
+
+
+def test_room_kept_for_urgent_work_is_where_least_is_free() -> None:
+    """The same in a pool that is more than half full."""
+    running = pool.Pool(3)
+    for name, gpus in (("x", 8), ("y", 5)):
+        step = pool.step(1, gpus=gpus, estimate_ms=60_000)
+        running.submit(name * 16, pool.spec(step, queue="batch"))
+    for name in "12":
+        running.submit(name * 16, pool.spec(pool.step(3), queue="urgent"))
+        running.settle()
+        running.end(name * 16, "done")
+        running.settle()
+    batch = "b" * 16
+    whole = pool.step(1, gpus=8, estimate_ms=60_000)
+    running.submit(batch, pool.spec(whole, queue="batch"))
+    running.settle()
+    assert len(running.running(batch)) == 1
