A new owner places urgent work before what can wait

Its owner had all workers within 0.4 s, but gave each to batch work as it reported, and stopped that again 0.9 s later.

Room can't be kept on workers that are not known yet.

Change: while a new owner still hears of workers, what can wait is not placed as long as urgent work has no place; half a second without a new worker ends that, two seconds at most.

--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -1,6 +1,7 @@
 """Places what waits, most urgent first, and clears room where it must."""
 
 from collections.abc import Collection
+from collections.abc import Sequence
 
 from kingcuplever import logs
 from kingcuplever.process.scheduling import accounts
@@ -50,6 +51,8 @@
             if not groups:
                 continue
             queue = self._book.queue_of(waiting.first_of(groups).job)
+            if queue.priority and self._is_held_back(steps, look):
+                return
             if queue.priority and queue.pool not in kept:
                 kept.add(queue.pool)
                 pool = [w for w in usable if w.pool == queue.pool]
@@ -57,6 +60,20 @@
                 self._book.headroom.keep(queue.pool, pool, rooms, part, now)
             self._place_step(groups, look)
 
+    def _is_held_back(
+        self, steps: Sequence[Collection[work.Group]], look: looks.Look
+    ) -> bool:
+        """Tell whether work that can wait has to, under a new owner.
+
+        Urgent work may fit once another worker reports; what takes the first
+        ones would have to be stopped for it.
+        """
+        if self._book.is_settled(look.now):
+            return False
+        # Urgent steps come first, so those that still have groups are known.
+        first = next(waiting.first_of(groups) for groups in steps if groups)
+        return self._book.queue_of(first.job).priority == 0
+
     def _place_in_cells(
         self, groups: Collection[work.Group], look: looks.Look
     ) -> None:
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -199,3 +199,36 @@
     running.submit(batch, pool.spec(whole, queue="batch"))
     running.settle()
     assert len(running.running(batch)) == 1
+
+
+def test_successor_places_urgent_work_before_what_can_wait() -> None:
+    """SHORT on phulrenu-kl: after a restart batch work took every worker.
+
+    Workers come to a new owner one by one.  Each was given to batch work at
+    once, and an urgent gang that needs two had to have it stopped again.
+    """
+    running = pool.Pool(2, {"stable": 16})
+    for fake in running.workers:
+        fake.silent = True
+    running.take_over()
+    batch, urgent = "b" * 16, "a" * 16
+    whole = pool.step(2, gpus=8, estimate_ms=60_000)
+    running.submit(batch, pool.spec(whole, queue="batch"))
+    gang = pool.step(2, gpus=8, gang=True, same_rack=True)
+    running.submit(urgent, pool.spec(gang, queue="urgent"))
+    for fake in running.workers:
+        fake.silent = False
+        running.settle(2)
+    assert len(running.running(urgent)) == 2
+    assert not running.running(batch)
+    assert running.scheduler.jobs[batch].evictions == 0
+
+
+def test_successor_places_what_can_wait_if_nothing_is_urgent() -> None:
+    """The same without the gang: no worker stays idle for its sake."""
+    running = pool.Pool(3)
+    running.take_over()
+    batch = "b" * 16
+    running.submit(batch, pool.spec(pool.step(3, gpus=8), queue="batch"))
+    running.settle(2)
+    assert len(running.running(batch)) == 3
