The owner's entry is asked whether it still decides

Cause: the log's silence was the only witness. Ruled out: the claim itself (20 ms), the load of the jobs and the sides' links (40 ms).

Change: each entry keeps one thrift link to the owner's entry and asks it four times a second, less often where many ask. An ended process closes the link, one that was restarted says that it owns no more, one cut from the store says that it can't append: each is enough to claim. Without an answer 0.9 s of silence on the log suffice, and the log is read anew while in doubt. Owners renew every 0.4 s. The log still decides: a claim is one conditional append. An entry that the log names as owner claims at once after its restart.

--- a/kingcuplever/connection/peer.py
+++ b/kingcuplever/connection/peer.py
@@ -5,8 +5,10 @@
 counted.  The connection's own task reads; writes are serialized by a lock.
 """
 
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import itertools
 
 import trio
@@ -162,6 +164,39 @@
 WRITE_TIMEOUT_S = 5.0
 
 
+async def refuse(peer: Peer, message: messages.Message) -> messages.Message:
+    """Serve no requests, as the end that only asks.
+
+    :raises errors.InvalidRequest: always.
+    """
+    raise errors.InvalidRequest("An asker takes no requests.")
+
+
+@contextlib.asynccontextmanager
+async def linked(
+    stream: trio.abc.Stream, handler: Handler = refuse
+) -> AsyncIterator[Peer]:
+    """Run a peer on a connected stream while the body runs.
+
+    The body is cancelled when the other end closes; the stream is closed
+    when the body ends.
+    """
+    peer = Peer(stream, handler)
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_run, peer, nursery)
+            yield peer
+            nursery.cancel_scope.cancel()
+    finally:
+        with trio.CancelScope(shield=True):
+            await peer.close()
+
+
+async def _run(peer: Peer, nursery: trio.Nursery) -> None:
+    await peer.run()
+    nursery.cancel_scope.cancel()
+
+
 def _take_frame(buffer: bytearray) -> frames.Frame | None:
     """Take one whole frame off the front of the buffer, if there is one.
 
--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -2181,6 +2181,153 @@
         return not (self == other)
 
 
+class OwnerProbe(object):
+    """
+    Attributes:
+     - epoch
+
+    """
+
+
+    def __init__(self, epoch=None,):
+        self.epoch = epoch
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OwnerProbe')
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 1)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OwnerStatus(object):
+    """
+    Attributes:
+     - owns
+     - failing_ms
+     - failed_tries
+     - next_ms
+
+    """
+
+
+    def __init__(self, owns=None, failing_ms=None, failed_tries=None, next_ms=None,):
+        self.owns = owns
+        self.failing_ms = failing_ms
+        self.failed_tries = failed_tries
+        self.next_ms = next_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.owns = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.failing_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.failed_tries = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.next_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OwnerStatus')
+        if self.owns is not None:
+            oprot.writeFieldBegin('owns', TType.BOOL, 1)
+            oprot.writeBool(self.owns)
+            oprot.writeFieldEnd()
+        if self.failing_ms is not None:
+            oprot.writeFieldBegin('failing_ms', TType.I32, 2)
+            oprot.writeI32(self.failing_ms)
+            oprot.writeFieldEnd()
+        if self.failed_tries is not None:
+            oprot.writeFieldBegin('failed_tries', TType.I32, 3)
+            oprot.writeI32(self.failed_tries)
+            oprot.writeFieldEnd()
+        if self.next_ms is not None:
+            oprot.writeFieldBegin('next_ms', TType.I32, 4)
+            oprot.writeI32(self.next_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerError(object):
     """
     Attributes:
@@ -2265,11 +2412,13 @@
      - orders_taken
      - keep_records
      - records_kept
+     - owner_probe
+     - owner_status
 
     """
 
 
-    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, peer_error=None, claim=None, claim_reply=None, worker_report=None, worker_reply=None, worker_orders=None, orders_taken=None, keep_records=None, records_kept=None,):
+    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, peer_error=None, claim=None, claim_reply=None, worker_report=None, worker_reply=None, worker_orders=None, orders_taken=None, keep_records=None, records_kept=None, owner_probe=None, owner_status=None,):
         self.heartbeat = heartbeat
         self.heartbeat_reply = heartbeat_reply
         self.dispatch = dispatch
@@ -2283,6 +2432,8 @@
         self.orders_taken = orders_taken
         self.keep_records = keep_records
         self.records_kept = records_kept
+        self.owner_probe = owner_probe
+        self.owner_status = owner_status
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2371,6 +2522,18 @@
                     self.records_kept.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.owner_probe = OwnerProbe()
+                    self.owner_probe.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.owner_status = OwnerStatus()
+                    self.owner_status.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2433,6 +2596,14 @@
             oprot.writeFieldBegin('records_kept', TType.STRUCT, 13)
             self.records_kept.write(oprot)
             oprot.writeFieldEnd()
+        if self.owner_probe is not None:
+            oprot.writeFieldBegin('owner_probe', TType.STRUCT, 14)
+            self.owner_probe.write(oprot)
+            oprot.writeFieldEnd()
+        if self.owner_status is not None:
+            oprot.writeFieldBegin('owner_status', TType.STRUCT, 15)
+            self.owner_status.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2713,6 +2884,19 @@
     (1, TType.STRING, 'outcome', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'detail', 'UTF8', None, ),  # 2
 )
+all_structs.append(OwnerProbe)
+OwnerProbe.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'epoch', None, None, ),  # 1
+)
+all_structs.append(OwnerStatus)
+OwnerStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'owns', None, None, ),  # 1
+    (2, TType.I32, 'failing_ms', None, None, ),  # 2
+    (3, TType.I32, 'failed_tries', None, None, ),  # 3
+    (4, TType.I32, 'next_ms', None, None, ),  # 4
+)
 all_structs.append(PeerError)
 PeerError.thrift_spec = (
     None,  # 0
@@ -2735,6 +2919,8 @@
     (11, TType.STRUCT, 'orders_taken', [OrdersTaken, None], None, ),  # 11
     (12, TType.STRUCT, 'keep_records', [KeepRecords, None], None, ),  # 12
     (13, TType.STRUCT, 'records_kept', [RecordsKept, None], None, ),  # 13
+    (14, TType.STRUCT, 'owner_probe', [OwnerProbe, None], None, ),  # 14
+    (15, TType.STRUCT, 'owner_status', [OwnerStatus, None], None, ),  # 15
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/kingcuplever/logs.py
+++ b/kingcuplever/logs.py
@@ -98,6 +98,11 @@
     )
 
 
+def debug(part: Part, text: str) -> None:
+    """Write a line that only a search for a fault needs."""
+    loguru.logger.bind(part=part.value).debug("{}", text)
+
+
 def info(part: Part, text: str) -> None:
     """Write one line of a part."""
     loguru.logger.bind(part=part.value).info("{}", text)
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -268,6 +268,27 @@
     detail: str
 
 
+class OwnerProbe(NamedTuple):
+    """Asks an entry whether it still owns an epoch."""
+
+    epoch: int
+
+
+class OwnerStatus(NamedTuple):
+    """How an owner is.
+
+    :ivar owns: whether it owns the epoch that was asked about.
+    :ivar failing_ms: for how long its present append has been failing, or 0.
+    :ivar failed_tries: tries of that append which have failed.
+    :ivar next_ms: when to ask again; grows with the number of askers.
+    """
+
+    owns: bool
+    failing_ms: int
+    failed_tries: int
+    next_ms: int
+
+
 class PeerError(NamedTuple):
     """The peer could not serve the request."""
 
@@ -289,4 +310,6 @@
     | OrdersTaken
     | KeepRecords
     | RecordsKept
+    | OwnerProbe
+    | OwnerStatus
 )
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -83,6 +83,12 @@
 
 struct RecordsKept { 1: string outcome, 2: string detail }
 
+struct OwnerProbe { 1: i64 epoch }
+
+struct OwnerStatus {
+  1: bool owns, 2: i32 failing_ms, 3: i32 failed_tries, 4: i32 next_ms
+}
+
 struct PeerError { 1: string code, 2: string detail }
 
 union Body {
@@ -91,7 +97,8 @@
   5: PeerError peer_error, 6: Claim claim, 7: ClaimReply claim_reply,
   8: WorkerReport worker_report, 9: WorkerReply worker_reply,
   10: WorkerOrders worker_orders, 11: OrdersTaken orders_taken,
-  12: KeepRecords keep_records, 13: RecordsKept records_kept
+  12: KeepRecords keep_records, 13: RecordsKept records_kept,
+  14: OwnerProbe owner_probe, 15: OwnerStatus owner_status
 }
 
 struct Frame { 1: i64 id, 2: bool reply, 3: Body body }
--- a/kingcuplever/process/append_relay.py
+++ b/kingcuplever/process/append_relay.py
@@ -70,19 +70,13 @@
             ),
             int(timeout_s * 1000),
         )
-        peer = peers.Peer(stream, _refuse)
         reply: messages.Message | None = None
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(peer.run)
+            async with peers.linked(stream) as peer:
                 reply = await peer.call(wanted, timeout_s)
-                nursery.cancel_scope.cancel()
         except* errors.KingcupleverError as group:
             text = f"Entry {entry} gave no help: {group.exceptions[0]}"
             logs.warn(logs.Part.LOG, text)
-        finally:
-            with trio.CancelScope(shield=True):
-                await peer.close()
         if not isinstance(reply, messages.RecordsKept):
             raise errors.LogUnavailable(f"Entry {entry} did not say.")
         text = f"Entry {entry} was asked to append: {reply.outcome}."
@@ -114,9 +108,3 @@
     except errors.LogUnavailable as error:
         return messages.RecordsKept(messages.UNKNOWN, error.detail)
     return messages.RecordsKept(messages.KEPT, "")
-
-
-async def _refuse(
-    peer: peers.Peer, message: messages.Message
-) -> messages.Message:
-    raise errors.InvalidRequest("An asker takes no requests.")
--- a/kingcuplever/process/entry.py
+++ b/kingcuplever/process/entry.py
@@ -171,7 +171,7 @@
             text = f"A side's connection broke: {group.exceptions[0]}"
             logs.warn(logs.Part.MEMBER, text)
         finally:
-            self._owner.links.lost(peer)
+            self._owner.lost(peer)
             side = self._sides.lost(peer)
             if side:
                 logs.warn(logs.Part.MEMBER, f"Side {side} is gone.")
@@ -183,9 +183,11 @@
     ) -> messages.Message:
         if isinstance(message, messages.WorkerReport):
             return await self._owner.links.take(peer, message)
+        if isinstance(message, messages.OwnerProbe):
+            return self._owner.answer_probe(peer, message)
         if not isinstance(message, messages.Heartbeat):
             raise errors.InvalidRequest(
-                "An entry takes heartbeats and reports only."
+                "An entry takes heartbeats, reports and probes only."
             )
         now = trio.current_time()
         if self._sides.heard(peer, message, now):
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -22,6 +22,7 @@
 from kingcuplever.process import append_relay
 from kingcuplever.process import job_metrics
 from kingcuplever.process import maintainer
+from kingcuplever.process import owner_probe
 from kingcuplever.process import owner_watch
 from kingcuplever.process import reign as reigns
 from kingcuplever.process.scheduling import fleet
@@ -44,6 +45,9 @@
 _RETRY_S: Final = 0.1
 # How long one look at what became of a claim may take.
 _LOOK_S: Final = 1.0
+# How long one look at the log may take while the owner's entry says nothing
+# good; the running poll would tell of the same only at its end.
+_CHECK_S: Final = 0.4
 
 
 class JobOwner:
@@ -85,6 +89,9 @@
         self._links = side_links.SideLinks(self._report, self._side_lost)
         self._reign: reigns.Reign | None = None
         self._resigned = False
+        self._claiming = -1
+        self._probe = owner_probe.OwnerProbe(name, board)
+        self._probe_desk = owner_probe.ProbeDesk()
         board.listener = self
 
     @property
@@ -134,7 +141,11 @@
                 return await self._links.take(peer, message)
             if isinstance(message, messages.KeepRecords):
                 return await append_relay.serve(appender, message)
-            raise errors.InvalidRequest("An owner takes reports and records.")
+            if isinstance(message, messages.OwnerProbe):
+                return self.answer_probe(peer, message)
+            raise errors.InvalidRequest(
+                "An entry takes reports, records and probes."
+            )
 
         async def serve(stream: trio.SocketStream) -> None:
             peer = peers.Peer(stream, answer)
@@ -144,18 +155,40 @@
                 text = f"A link broke: {group.exceptions[0]}"
                 logs.warn(logs.Part.MEMBER, text)
             finally:
-                self._links.lost(peer)
+                self.lost(peer)
 
         await trio.serve_tcp(serve, port, host=host)
 
+    def answer_probe(
+        self, peer: peers.Peer, probe: messages.OwnerProbe
+    ) -> messages.OwnerStatus:
+        """Tell another entry how this one's ownership is."""
+        reign = self._reign
+        failing_s, tries = 0.0, 0
+        if reign is not None:
+            failing_s, tries = reign.failing(trio.current_time())
+        # The log may show a claim before its answer has come here.
+        owns = probe.epoch == self._claiming or (
+            reign is not None and reign.epoch == probe.epoch
+        )
+        return self._probe_desk.answer(peer, owns, failing_s, tries)
+
+    def lost(self, peer: peers.Peer) -> None:
+        """A connection to this entry has ended."""
+        self._links.lost(peer)
+        self._probe_desk.lost(peer)
+
     async def run(self) -> None:
         """Watch, claim and decide until cancelled."""
-        while not self._resigned:
-            watch = await self._wait_for_silence()
-            reign = await self._claim()
-            if reign is not None:
-                self._note_takeover(reign.epoch, watch)
-                await self._decide(reign)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._probe.run)
+            while not self._resigned:
+                watch = await self._wait_for_silence()
+                reign = await self._claim()
+                if reign is not None:
+                    self._note_takeover(reign.epoch, watch)
+                    await self._decide(reign)
+            nursery.cancel_scope.cancel()
 
     async def resign(self) -> None:
         """Own nothing any more; another entry need not wait to claim."""
@@ -172,17 +205,27 @@
         while True:
             await trio.sleep(_RETRY_S)
             owner = self._board.owner
-            # An owner of this very entry is a process that has ended.
-            vacant = owner is None or owner.renewal == reigns.RESIGNED
-            vacant = vacant or owner is None or owner.entry == self._name
-            may_claim = watch.may_claim(
+            reading = owner_watch.Reading(
                 self._board.owner_heard,
                 self._follower.seen_at,
-                vacant,
-                trio.current_time(),
+                owner is None or owner.renewal == reigns.RESIGNED,
+                owner is not None and owner.entry == self._name,
             )
+            now = trio.current_time()
+            told = self._probe.told(now)
+            may_claim = watch.may_claim(reading, told, now)
             if may_claim and self._policy.version and not self._resigned:
                 return watch
+            if told.word is not owner_watch.Word.OWNS and not reading.vacant:
+                await self._check_log()
+
+    async def _check_log(self) -> None:
+        """Read the log now, beside the running poll."""
+        try:
+            await self._follower.refresh(_CHECK_S)
+        except errors.LogUnavailable as error:
+            # The poll logs it; without a newer read nothing is claimed.
+            logs.debug(logs.Part.OWNER, f"No newer state: {error.detail}")
 
     def _note_takeover(
         self, epoch: int, watch: owner_watch.OwnerWatch
@@ -209,7 +252,20 @@
         record = job_records.Owner(
             epoch, self._name, self._address, 0, evidence
         )
+        self._claiming = epoch
+        try:
+            if not await self._append_claim(producer, record):
+                return None
+        finally:
+            self._claiming = -1
+        return self._begin(record, producer)
+
+    async def _append_claim(
+        self, producer: producing.Producer, record: job_records.Owner
+    ) -> bool:
+        """Append a claim at the end that was read; tell whether it holds."""
         at = self._follower.offset
+        epoch = record.epoch
         text = f"Claiming epoch {epoch} at {at}."
         logs.info(logs.Part.OWNER, text)
         while True:
@@ -222,15 +278,15 @@
                     producer.found_done()
                     break
                 logs.info(logs.Part.OWNER, f"Not claimed: {error.detail}")
-                return None
+                return False
             except errors.LogRefused as error:
                 logs.info(logs.Part.OWNER, f"Not claimed: {error.detail}")
-                return None
+                return False
             except errors.LogUnavailable as error:
                 logs.warn(logs.Part.OWNER, f"Claim in doubt: {error.detail}")
                 await trio.sleep(_RETRY_S)
         logs.info(logs.Part.OWNER, f"Owner of epoch {epoch} at {at}.")
-        return self._begin(record, producer)
+        return True
 
     def _begin(
         self, owner: job_records.Owner, producer: producing.Producer
--- a/kingcuplever/process/owner_link.py
+++ b/kingcuplever/process/owner_link.py
@@ -111,18 +111,12 @@
             text = f"Owner {owner.entry} can't be dialled: {error!r}"
             logs.warn(logs.Part.OWNER, text)
             return
-        peer = peers.Peer(stream, self._serve)
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(_read, peer, nursery)
+            async with peers.linked(stream, self._serve) as peer:
                 await self._report(peer, owner)
-                nursery.cancel_scope.cancel()
         except* errors.KingcupleverError as group:
             text = f"Link to {owner.entry} ended: {group.exceptions[0]}"
             logs.warn(logs.Part.OWNER, text)
-        finally:
-            with trio.CancelScope(shield=True):
-                await peer.close()
 
     async def _report(
         self, peer: peers.Peer, owner: job_records.Owner
@@ -154,11 +148,6 @@
         return messages.OrdersTaken(message.number)
 
 
-async def _read(peer: peers.Peer, nursery: trio.Nursery) -> None:
-    await peer.run()
-    nursery.cancel_scope.cancel()
-
-
 async def _cancel_when(event: trio.Event, nursery: trio.Nursery) -> None:
     await event.wait()
     nursery.cancel_scope.cancel()
--- /dev/null
+++ b/kingcuplever/process/owner_probe.py
@@ -0,0 +1,151 @@
+"""Asks the owner's entry, over a direct link, whether it still decides.
+
+An owner that ends closes its link at once, and one that is cut from the log
+says so; the log alone shows either by a silence only.
+"""
+
+from typing import Final
+
+import trio
+
+from kingcuplever.connection import peer as peers
+from kingcuplever import errors
+from kingcuplever import logs
+from kingcuplever import messages
+from kingcuplever import options
+from kingcuplever.process import owner_watch
+from kingcuplever.process.stored import job_board
+from kingcuplever.process.stored import job_records
+
+# An answer that takes longer counts as none; several times that of a host
+# that is slowed down.
+_ANSWER_S: Final = 0.4
+# Pause before a link that has ended is dialled again.
+_RETRY_S: Final = 0.1
+# How often an owner is asked, if it does not say.
+_PERIOD_S: Final = 0.25
+# Probes that an owner answers in a second, whatever the number of askers;
+# about half a hundredth of a core.
+_PROBES_PER_S: Final = 25.0
+
+
+class OwnerProbe:
+    """Keeps one link to the present owner's entry, if that is another."""
+
+    def __init__(self, name: str, board: job_board.JobBoard) -> None:
+        """Ask nobody yet.
+
+        :param name: of this entry, which need not ask itself.
+        """
+        self._name = name
+        self._board = board
+        self._told = owner_watch.Told(owner_watch.Word.SILENT)
+        self._epoch = -1
+        self._heard_at = float("-inf")
+        self._period_s = _PERIOD_S
+
+    def told(self, now: float) -> owner_watch.Told:
+        """Give what the present owner's entry said last."""
+        owner = self._board.owner
+        silent_s = now - self._heard_at
+        is_of_owner = owner is not None and owner.epoch == self._epoch
+        if not is_of_owner or silent_s > self._period_s + _ANSWER_S:
+            return owner_watch.Told(owner_watch.Word.SILENT)
+        return self._told
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            owner = self._board.owner
+            if owner is None or owner.entry == self._name:
+                await trio.sleep(_PERIOD_S)
+                continue
+            await self._follow(owner)
+            await trio.sleep(_RETRY_S)
+
+    async def _follow(self, owner: job_records.Owner) -> None:
+        """Ask one owner until the link ends or another owns."""
+        host, port = options.split_address(owner.address)
+        try:
+            with trio.fail_after(_ANSWER_S):
+                stream = await trio.open_tcp_stream(host, port)
+        except trio.TooSlowError:
+            return
+        except OSError as error:
+            if _is_refused(error):
+                gone = owner_watch.Told(owner_watch.Word.GONE)
+                self._hear(owner.epoch, gone)
+            return
+        try:
+            async with peers.linked(stream) as peer:
+                await self._ask(peer, owner.epoch)
+        except* errors.KingcupleverError as group:
+            text = f"No word of {owner.entry}: {group.exceptions[0]}"
+            logs.info(logs.Part.OWNER, text)
+
+    async def _ask(self, peer: peers.Peer, epoch: int) -> None:
+        while True:
+            present = self._board.owner
+            if present is None or present.epoch != epoch:
+                return
+            wanted = messages.OwnerProbe(epoch)
+            status = await peer.call(wanted, _ANSWER_S)
+            if not isinstance(status, messages.OwnerStatus):
+                raise errors.InvalidRequest("An owner's entry says no status.")
+            self._period_s = status.next_ms / 1000
+            self._hear(epoch, _read_status(status, trio.current_time()))
+            await trio.sleep(self._period_s)
+
+    def _hear(self, epoch: int, told: owner_watch.Told) -> None:
+        if (epoch, told.word) != (self._epoch, self._told.word):
+            text = f"The owner of epoch {epoch} {told.word.value}."
+            logs.info(logs.Part.OWNER, text)
+        self._epoch = epoch
+        self._told = told
+        self._heard_at = trio.current_time()
+
+
+class ProbeDesk:
+    """Answers other entries' probes, fewer each second where many ask."""
+
+    def __init__(self) -> None:
+        """Know no askers."""
+        self._asked_at: dict[peers.Peer, float] = {}
+
+    def answer(
+        self, peer: peers.Peer, owns: bool, failing_s: float, tries: int
+    ) -> messages.OwnerStatus:
+        """Answer one probe.
+
+        :param failing_s: for how long the present append has been failing.
+        :param tries: tries of it that failed.
+        """
+        self._asked_at[peer] = trio.current_time()
+        period_s = max(_PERIOD_S, len(self._asked_at) / _PROBES_PER_S)
+        return messages.OwnerStatus(
+            owns, int(failing_s * 1000), tries, int(period_s * 1000)
+        )
+
+    def lost(self, peer: peers.Peer) -> None:
+        """A connection has ended."""
+        self._asked_at.pop(peer, None)
+
+
+def _read_status(status: messages.OwnerStatus, now: float) -> owner_watch.Told:
+    if not status.owns:
+        return owner_watch.Told(owner_watch.Word.GONE)
+    failing_s = status.failing_ms / 1000
+    cut = failing_s >= owner_watch.FAILING_S
+    if cut or status.failed_tries >= owner_watch.FAILED_TRIES:
+        return owner_watch.Told(owner_watch.Word.FAILING, now - failing_s)
+    return owner_watch.Told(owner_watch.Word.OWNS)
+
+
+def _is_refused(error: OSError) -> bool:
+    """Tell whether nobody listens at an address that can be reached."""
+    cause = error.__cause__
+    if isinstance(cause, BaseExceptionGroup):
+        return all(
+            isinstance(one, ConnectionRefusedError) for one in cause.exceptions
+        )
+    return isinstance(cause or error, ConnectionRefusedError)
--- a/kingcuplever/process/owner_watch.py
+++ b/kingcuplever/process/owner_watch.py
@@ -1,21 +1,70 @@
-"""Tells when the owner has been silent for so long that another may claim.
+"""Tells when the owner is lost, so that another entry may claim.
 
-Silence is measured by reads of the log that succeeded and brought nothing
-of the owner; time in which the log could not be read counts for nothing.
+Two witnesses count: the log, as far as it could be read, and the owner's own
+entry, which is asked over a direct link.  The log alone is enough to call an
+owner lost after a longer silence; with the other's word less is needed.
 """
 
+import enum
 from typing import Final
+from typing import NamedTuple
 
-# Without any record of the owner for so long, another entry takes over;
-# over two renewals, so that one slow append is no silence.
+# Without any record of the owner for so long, another entry takes over even
+# if the owner's entry answers; over three renewals, so that one slow append
+# is no silence.
 SILENCE_S: Final = 1.6
+# The same where the owner's entry does not answer either; two renewals and a
+# slow append.
+UNANSWERED_S: Final = 0.9
+# An owner whose append has failed for so long, or so often, is cut from the
+# log; a connection that fails at once fails often.
+FAILING_S: Final = 1.0
+FAILED_TRIES: Final = 3
+# The log must have been readable here for so long before an owner that can't
+# append counts as cut off alone; it may have been away for all.
+_READABLE_S: Final = 0.4
 # Entries that notice at the same time wait a part of this, stronger ones
-# less, so that the first claim is mostly the only one.
-SPREAD_S: Final = 0.4
+# less, so that the first claim is mostly the only one; the log refuses all
+# others.
+SPREAD_S: Final = 0.2
 # Reads further apart than this have a failure between them.
 _GAP_S: Final = 1.2
 
 
+class Word(enum.Enum):
+    """What the owner's entry says about its ownership."""
+
+    OWNS = "owns"
+    FAILING = "owns, and can't append"
+    SILENT = "no answer"
+    GONE = "owns no more"
+
+
+class Told(NamedTuple):
+    """The word of the owner's entry.
+
+    :ivar failing_since: steady time since when its append has been failing.
+    """
+
+    word: Word
+    failing_since: float = 0.0
+
+
+class Reading(NamedTuple):
+    """What has been read of the log.
+
+    :ivar owner_records: records of owners that have been read so far.
+    :ivar seen_at: steady time of the newest successful read.
+    :ivar vacant: nobody owns, or the owner has resigned.
+    :ivar is_ours: the owner was an earlier process of this very entry.
+    """
+
+    owner_records: int
+    seen_at: float
+    vacant: bool
+    is_ours: bool = False
+
+
 class OwnerWatch:
     """Watches the records of owners, as one entry reads them."""
 
@@ -29,36 +78,42 @@
         self._count = -1
         self._heard_at = 0.0
         self._seen_at = 0.0
+        self._readable_since = 0.0
         self._first_at: float | None = None
 
     def silent_s(self, now: float) -> float:
         """Tell how long no owner's record has been read, in seconds."""
         return now - self._heard_at
 
-    def may_claim(
-        self, count: int, seen_at: float, vacant: bool, now: float
-    ) -> bool:
-        """Tell whether to claim now.
-
-        :param count: records of owners that have been read so far.
-        :param seen_at: steady time of the newest successful read.
-        :param vacant: nobody owns, or the owner has resigned.
-        """
+    def may_claim(self, reading: Reading, told: Told, now: float) -> bool:
+        """Tell whether to claim now."""
+        seen_at = reading.seen_at
         if seen_at == float("-inf"):
             return False
         if seen_at - self._seen_at > _GAP_S:
             self._heard_at += seen_at - self._seen_at
+            self._readable_since = seen_at
         self._seen_at = seen_at
-        if count != self._count:
-            self._count = count
+        if reading.owner_records != self._count:
+            self._count = reading.owner_records
             self._heard_at = max(seen_at, self._heard_at)
             self._first_at = None
-        silent = vacant or seen_at - self._heard_at >= SILENCE_S
-        if not silent:
+        if not self._is_lost(reading, told):
             self._first_at = None
             return False
         if self._first_at is None:
             self._first_at = now
         # A read that is older than the decision could have missed a claim.
         fresh = now - seen_at < SILENCE_S
-        return fresh and now - self._first_at >= self._wait_s
+        wait_s = 0.0 if reading.is_ours else self._wait_s
+        return fresh and now - self._first_at >= wait_s
+
+    def _is_lost(self, reading: Reading, told: Told) -> bool:
+        """Tell whether nobody decides any more."""
+        if reading.vacant or reading.is_ours or told.word is Word.GONE:
+            return True
+        if told.word is Word.FAILING:
+            since = max(self._readable_since, told.failing_since)
+            return reading.seen_at - since >= _READABLE_S
+        enough_s = UNANSWERED_S if told.word is Word.SILENT else SILENCE_S
+        return reading.seen_at - self._heard_at >= enough_s
--- a/kingcuplever/process/reign.py
+++ b/kingcuplever/process/reign.py
@@ -34,7 +34,7 @@
 
 _TICK_S: Final = 0.05
 # The owner appends at least so often, so that others see it live.
-_RENEW_S: Final = 0.7
+_RENEW_S: Final = 0.4
 _RETRY_S: Final = 0.1
 # The owner sums its state up in one line so often.
 _SUMMARY_S: Final = 10.0
@@ -137,6 +137,12 @@
             text = f"The resignation is not on the log: {error.detail}"
             logs.warn(logs.Part.OWNER, text)
 
+    def failing(self, now: float) -> tuple[float, int]:
+        """Tell for how long, in seconds, and how often an append failed."""
+        since = self._producer.failing_since
+        failing_s = 0.0 if since is None else now - since
+        return failing_s, self._producer.failed_tries
+
     async def keep(self, records: Sequence[keyed_log.KeyedRecord]) -> int:
         """Append what an operator decided, with the owner's own records.
 
--- a/kingcuplever/process/stored/producing.py
+++ b/kingcuplever/process/stored/producing.py
@@ -22,7 +22,12 @@
 
 
 class Producer:
-    """Numbers the appends of one producer in one epoch."""
+    """Numbers the appends of one producer in one epoch.
+
+    :ivar failing_since: steady time when the append began that is being
+        repeated; absent while none is.
+    :ivar failed_tries: tries of that append which have failed.
+    """
 
     def __init__(
         self, log: keyed_log.KeyedLog, topic: str, name: str, epoch: int
@@ -40,6 +45,8 @@
         self._sequence = secrets.randbelow(_FIRST_SEQUENCES)
         self._open: _Append | None = None
         self._lock = trio.Lock()
+        self.failing_since: float | None = None
+        self.failed_tries = 0
 
     async def try_append(
         self,
@@ -75,21 +82,26 @@
         :raises errors.LogRefused: surely nothing was done.
         :raises errors.LogFenced: a newer epoch has written.
         """
-        is_told = False
-        while True:
-            try:
-                return await self.try_append(records)
-            except errors.LogRefused as error:
-                if self._open is None and not insist:
-                    raise
-                reason = error.detail
-            except errors.LogUnavailable as error:
-                reason = error.detail
-            if not is_told:
-                is_told = True
-                text = f"Append to {self._topic} is repeated: {reason}"
-                logs.warn(logs.Part.LOG, text)
-            await trio.sleep(_RETRY_S)
+        began_at = trio.current_time()
+        try:
+            while True:
+                try:
+                    return await self.try_append(records)
+                except errors.LogRefused as error:
+                    if self._open is None and not insist:
+                        raise
+                    reason = error.detail
+                except errors.LogUnavailable as error:
+                    reason = error.detail
+                if not self.failed_tries:
+                    text = f"Append to {self._topic} is repeated: {reason}"
+                    logs.warn(logs.Part.LOG, text)
+                self.failing_since = began_at
+                self.failed_tries += 1
+                await trio.sleep(_RETRY_S)
+        finally:
+            self.failing_since = None
+            self.failed_tries = 0
 
     async def _send(self, wanted: "_Append") -> int:
         """Send one append under the present number."""
--- /dev/null
+++ b/tests/test_owner_probe.py
@@ -0,0 +1,149 @@
+"""What an entry learns from the owner's entry over their link."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+
+from kingcuplever.connection import peer as peers
+from kingcuplever import messages
+from kingcuplever.process import owner_probe
+from kingcuplever.process import owner_watch
+from kingcuplever.process.stored import job_board
+from kingcuplever.process.stored import job_records
+import trio
+import trio.testing
+
+# Far over the time of one answer on a busy machine.
+_PATIENCE_S = 10.0
+_EPOCH = 7
+
+
+class OwnerEntry:
+    """An owner's entry that answers probes on a port of its own.
+
+    :ivar status: what it answers; nothing while it is absent.
+    :ivar probe: another entry's probe of it.
+    """
+
+    def __init__(self, listener: trio.SocketListener) -> None:
+        """Own the epoch, and be known to another entry."""
+        _, port = listener.socket.getsockname()
+        self.status: messages.OwnerStatus | None = status()
+        board = job_board.JobBoard()
+        address = f"127.0.0.1:{port}"
+        board.owner = job_records.Owner(_EPOCH, "one", address, 0)
+        self.probe = owner_probe.OwnerProbe("two", board)
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Answer on one connection."""
+        await peers.Peer(stream, self._answer).run()
+
+    async def expect(self, word: owner_watch.Word) -> None:
+        """Wait until the other entry knows this one so."""
+        while self.probe.told(trio.current_time()).word is not word:
+            await trio.sleep(0.01)
+
+    async def _answer(
+        self, peer: peers.Peer, message: messages.Message
+    ) -> messages.Message:
+        assert message == messages.OwnerProbe(_EPOCH)
+        if self.status is None:
+            await trio.sleep_forever()
+        assert self.status is not None
+        return self.status
+
+
+def status(
+    owns: bool = True, failing_ms: int = 0, tries: int = 0
+) -> messages.OwnerStatus:
+    """Make an owner's answer."""
+    return messages.OwnerStatus(owns, failing_ms, tries, 20)
+
+
+def play(
+    story: Callable[[OwnerEntry, trio.Nursery], Awaitable[None]],
+) -> None:
+    """Play a story with an owner whose process is a nursery."""
+
+    async def run() -> None:
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        entry = OwnerEntry(listener)
+        with trio.fail_after(_PATIENCE_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(entry.probe.run)
+                async with trio.open_nursery() as process:
+                    process.start_soon(
+                        trio.serve_listeners, entry.serve, [listener]
+                    )
+                    await entry.expect(owner_watch.Word.OWNS)
+                    await story(entry, process)
+                    process.cancel_scope.cancel()
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def test_owner_whose_process_ends_is_known_as_gone() -> None:
+    """SHORT on phulrenu-kl: a killed owner was noticed by its silence only."""
+
+    async def story(entry: OwnerEntry, process: trio.Nursery) -> None:
+        process.cancel_scope.cancel()
+        with trio.CancelScope(shield=True):
+            await entry.expect(owner_watch.Word.GONE)
+
+    play(story)
+
+
+def test_owner_that_started_again_says_that_it_owns_no_more() -> None:
+    """Its process is there, and decides nothing."""
+
+    async def story(entry: OwnerEntry, process: trio.Nursery) -> None:
+        entry.status = status(owns=False)
+        await entry.expect(owner_watch.Word.GONE)
+
+    play(story)
+
+
+def test_owner_that_can_not_append_says_so() -> None:
+    """Cut from the log alone, it still answers other entries."""
+
+    async def story(entry: OwnerEntry, process: trio.Nursery) -> None:
+        entry.status = status(failing_ms=100, tries=owner_watch.FAILED_TRIES)
+        await entry.expect(owner_watch.Word.FAILING)
+        entry.status = status()
+        await entry.expect(owner_watch.Word.OWNS)
+        long_ms = int(owner_watch.FAILING_S * 1000)
+        entry.status = status(failing_ms=long_ms, tries=1)
+        await entry.expect(owner_watch.Word.FAILING)
+
+    play(story)
+
+
+def test_owner_that_answers_no_more_is_silent_and_comes_back() -> None:
+    """A host that freezes, or a connection that goes silent for good."""
+
+    async def story(entry: OwnerEntry, process: trio.Nursery) -> None:
+        entry.status = None
+        await entry.expect(owner_watch.Word.SILENT)
+        entry.status = status()
+        await entry.expect(owner_watch.Word.OWNS)
+
+    play(story)
+
+
+def test_owner_with_many_askers_is_asked_less_often() -> None:
+    """The probes of a whole region's entries stay a small load."""
+
+    async def run() -> None:
+        desk = owner_probe.ProbeDesk()
+        askers = [
+            peers.Peer(trio.testing.memory_stream_pair()[0], peers.refuse)
+            for _ in range(50)
+        ]
+        periods = [desk.answer(peer, True, 0.0, 0).next_ms for peer in askers]
+        assert periods[0] == 250
+        assert periods[-1] == 2000
+        for peer in askers[1:]:
+            desk.lost(peer)
+        assert desk.answer(askers[0], True, 0.0, 0).next_ms == 250
+
+    trio.run(run)
