An entry that can't read the log has others tell how a job is

Callers saw: SHORT, for the clients of one place. A place has one entry. While the store turned it away its callers were told "running" of jobs that had ended up to nine seconds before, so that these counted as late; a former owner's entry refused new jobs though two other entries could have kept them.

Cause: a known job was shown from the entry's own view, however old, and help was known in one direction only, towards the owner. Ruled out: slow followers (views are 0.7 s old at most while the log can be read).

Change: the links by which entries ask the owner serve both ways. An entry whose view is over a second old asks whom it reaches how a job is that is not over; the newest view is believed, its own if nobody has a newer one. The same links carry records to append, so that a former owner has somebody to ask. append_relay.py becomes entry_help.py.

--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -2328,6 +2328,153 @@
         return not (self == other)
 
 
+class JobQuestion(object):
+    """
+    Attributes:
+     - job
+
+    """
+
+
+    def __init__(self, job=None,):
+        self.job = job
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobQuestion')
+        if self.job is not None:
+            oprot.writeFieldBegin('job', TType.STRING, 1)
+            oprot.writeString(self.job.encode('utf-8') if sys.version_info[0] == 2 else self.job)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class JobAnswer(object):
+    """
+    Attributes:
+     - known
+     - state
+     - account
+     - age_ms
+
+    """
+
+
+    def __init__(self, known=None, state=None, account=None, age_ms=None,):
+        self.known = known
+        self.state = state
+        self.account = account
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.BOOL:
+                    self.known = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobAnswer')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.BOOL, 1)
+            oprot.writeBool(self.known)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 2)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 3)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PeerError(object):
     """
     Attributes:
@@ -2414,11 +2561,13 @@
      - records_kept
      - owner_probe
      - owner_status
+     - job_question
+     - job_answer
 
     """
 
 
-    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, peer_error=None, claim=None, claim_reply=None, worker_report=None, worker_reply=None, worker_orders=None, orders_taken=None, keep_records=None, records_kept=None, owner_probe=None, owner_status=None,):
+    def __init__(self, heartbeat=None, heartbeat_reply=None, dispatch=None, dispatch_reply=None, peer_error=None, claim=None, claim_reply=None, worker_report=None, worker_reply=None, worker_orders=None, orders_taken=None, keep_records=None, records_kept=None, owner_probe=None, owner_status=None, job_question=None, job_answer=None,):
         self.heartbeat = heartbeat
         self.heartbeat_reply = heartbeat_reply
         self.dispatch = dispatch
@@ -2434,6 +2583,8 @@
         self.records_kept = records_kept
         self.owner_probe = owner_probe
         self.owner_status = owner_status
+        self.job_question = job_question
+        self.job_answer = job_answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2534,6 +2685,18 @@
                     self.owner_status.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.job_question = JobQuestion()
+                    self.job_question.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.job_answer = JobAnswer()
+                    self.job_answer.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2604,6 +2767,14 @@
             oprot.writeFieldBegin('owner_status', TType.STRUCT, 15)
             self.owner_status.write(oprot)
             oprot.writeFieldEnd()
+        if self.job_question is not None:
+            oprot.writeFieldBegin('job_question', TType.STRUCT, 16)
+            self.job_question.write(oprot)
+            oprot.writeFieldEnd()
+        if self.job_answer is not None:
+            oprot.writeFieldBegin('job_answer', TType.STRUCT, 17)
+            self.job_answer.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2897,6 +3068,19 @@
     (3, TType.I32, 'failed_tries', None, None, ),  # 3
     (4, TType.I32, 'next_ms', None, None, ),  # 4
 )
+all_structs.append(JobQuestion)
+JobQuestion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job', 'UTF8', None, ),  # 1
+)
+all_structs.append(JobAnswer)
+JobAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.BOOL, 'known', None, None, ),  # 1
+    (2, TType.STRING, 'state', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'account', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
 all_structs.append(PeerError)
 PeerError.thrift_spec = (
     None,  # 0
@@ -2921,6 +3105,8 @@
     (13, TType.STRUCT, 'records_kept', [RecordsKept, None], None, ),  # 13
     (14, TType.STRUCT, 'owner_probe', [OwnerProbe, None], None, ),  # 14
     (15, TType.STRUCT, 'owner_status', [OwnerStatus, None], None, ),  # 15
+    (16, TType.STRUCT, 'job_question', [JobQuestion, None], None, ),  # 16
+    (17, TType.STRUCT, 'job_answer', [JobAnswer, None], None, ),  # 17
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -268,6 +268,25 @@
     detail: str
 
 
+class JobQuestion(NamedTuple):
+    """Asks an entry how a job is."""
+
+    job: str
+
+
+class JobAnswer(NamedTuple):
+    """How a job is, as an entry reads it on the log.
+
+    :ivar known: whether there is such a job.
+    :ivar age_ms: how old the reading is.
+    """
+
+    known: bool
+    state: str
+    account: str
+    age_ms: int
+
+
 class OwnerProbe(NamedTuple):
     """Asks an entry whether it still owns an epoch."""
 
@@ -312,4 +331,6 @@
     | RecordsKept
     | OwnerProbe
     | OwnerStatus
+    | JobQuestion
+    | JobAnswer
 )
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -89,6 +89,12 @@
   1: bool owns, 2: i32 failing_ms, 3: i32 failed_tries, 4: i32 next_ms
 }
 
+struct JobQuestion { 1: string job }
+
+struct JobAnswer {
+  1: bool known, 2: string state, 3: string account, 4: i32 age_ms
+}
+
 struct PeerError { 1: string code, 2: string detail }
 
 union Body {
@@ -98,7 +104,8 @@
   8: WorkerReport worker_report, 9: WorkerReply worker_reply,
   10: WorkerOrders worker_orders, 11: OrdersTaken orders_taken,
   12: KeepRecords keep_records, 13: RecordsKept records_kept,
-  14: OwnerProbe owner_probe, 15: OwnerStatus owner_status
+  14: OwnerProbe owner_probe, 15: OwnerStatus owner_status,
+  16: JobQuestion job_question, 17: JobAnswer job_answer
 }
 
 struct Frame { 1: i64 id, 2: bool reply, 3: Body body }
--- a/kingcuplever/platform/front.py
+++ b/kingcuplever/platform/front.py
@@ -126,8 +126,7 @@
             await self._desk.submit(job, spec, timeout_s)
             return http_server.json_response({})
         found = await self._desk.look(job)
-        assert found.spec is not None
-        if account and found.spec.account and found.spec.account != account:
+        if account and found.account and found.account != account:
             raise errors.KingcupleverError(
                 f"Job {job} is not of {account}.", errors.Code.FORBIDDEN
             )
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -20,7 +20,8 @@
 from kingcuplever.platform import registry
 from kingcuplever.platform import settings
 from kingcuplever.platform import store
-from kingcuplever.process import append_relay
+from kingcuplever.process import entry_help
+from kingcuplever.process import entry_links
 from kingcuplever.process import job_desk
 from kingcuplever.process import job_metrics
 from kingcuplever.process import job_owner
@@ -117,8 +118,11 @@
             return producing.Producer(log, job_records.TOPIC, name, 1)
 
         appender = producing.GroupAppender(make_producer)
-        relay = append_relay.AppendRelay(host.name, board)
-        desk = job_desk.JobDesk(board, follower, appender, relay)
+        links = entry_links.EntryLinks()
+        desk = job_desk.JobDesk(
+            board, follower, appender, entry_help.EntryHelp(links)
+        )
+        help_desk = entry_help.HelpDesk(appender, desk)
         fronts = front.Front(desk, metrics)
         timing = schedulers.Timing(
             leases.lost_after_s(host.lease_ms / 1000),
@@ -136,6 +140,8 @@
             metrics,
             adviser.Adviser(advice_client),
             hosts.Hosts(hosts_client, log) if host.hosts else None,
+            links=links,
+            serve=help_desk.answer,
         )
         sink = _OperatorSink(fronts, owner)
         operator = following.Follower(
@@ -150,7 +156,7 @@
                 owner.run,
             ):
                 nursery.start_soon(task)
-            nursery.start_soon(owner.listen, appender)
+            nursery.start_soon(owner.listen)
             await nursery.start(_serve_metrics, host, metrics)
             await _serve_callers(host, fronts, desk, owner)
             nursery.cancel_scope.cancel()
--- a/kingcuplever/process/job_desk.py
+++ b/kingcuplever/process/job_desk.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 from typing import Final
+from typing import NamedTuple
 from typing import Protocol
 
 import trio
@@ -13,6 +14,7 @@
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import logs
+from kingcuplever import messages
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import following
 from kingcuplever.process.stored import job_board
@@ -35,10 +37,25 @@
 _HOPELESS_S: Final = 0.3
 # How long one look at the log may take before the view counts as old.
 _REFRESH_S: Final = 0.8
+# The age of a view that was never read, as told to others.
+_OLDEST_S: Final = 3600.0
+# From a view older than this a job that goes on is shown only if no other
+# entry knows better; one poll and a slow answer.
+ASK_S: Final = 1.0
+
+
+class JobView(NamedTuple):
+    """A job as callers may see it.
+
+    :ivar account: whose job it is, or empty.
+    """
+
+    state: str
+    account: str
 
 
 class Helper(Protocol):
-    """Appends for an entry that can't."""
+    """Other entries, for an entry that the log turns away."""
 
     async def append(
         self, records: Sequence[keyed_log.KeyedRecord], timeout_s: float
@@ -49,6 +66,9 @@
         :raises errors.LogUnavailable: it may or may not be done.
         """
 
+    async def look(self, job: str) -> messages.JobAnswer | None:
+        """Have told how a job is; none if nobody can."""
+
 
 class JobDesk:
     """Takes jobs in and tells how they are."""
@@ -62,7 +82,7 @@
     ) -> None:
         """Answer from a board that a follower keeps up to date.
 
-        :param relay: appends where the log turns this entry away.
+        :param relay: serves where the log turns this entry away.
         """
         self._relay = relay
         self._hopeless_until = float("-inf")
@@ -107,22 +127,77 @@
             f"Job {job} of {spec.account} on {spec.queue} is accepted.",
         )
 
-    async def look(self, job: str) -> job_board.StoredJob:
+    async def look(self, job: str) -> JobView:
         """Give a job as the log has it.
 
+        Where this entry can't read the log another one is asked: callers of
+        a place know no other entry, and would wait for a job that is over.
+
         :raises errors.KingcupleverError: ``GONE`` if there is none,
-            ``OVERLOADED`` if the view is too old to say so.
+            ``OVERLOADED`` if nobody's view is new enough to say so.
         """
+        found = self._find(job)
+        if found is not None and found.state in model.ENDED_STATES:
+            return found
+        if self.view_age_s <= ASK_S:
+            if found is not None:
+                return found
+            if await self._refresh():
+                return self._found_or_gone(job)
+        told = await self._relay.look(job)
+        if told is not None and told.age_ms < self.view_age_s * 1000:
+            return self._use(job, told)
+        if found is None and not await self._refresh():
+            raise errors.KingcupleverError(
+                "The jobs can't be read at present.", errors.Code.OVERLOADED
+            )
+        return found or self._found_or_gone(job)
+
+    async def tell(self, job: str) -> messages.JobAnswer:
+        """Tell another entry how a job is."""
+        found = self._find(job)
+        if found is None and await self._refresh():
+            found = self._find(job)
+        age_ms = int(min(self.view_age_s, _OLDEST_S) * 1000)
+        if found is None:
+            return messages.JobAnswer(False, "", "", age_ms)
+        return messages.JobAnswer(True, *found, age_ms)
+
+    def _find(self, job: str) -> JobView | None:
         found = self._board.jobs.get(job)
         if found is None or found.spec is None:
-            await self._refresh()
-            found = self._board.jobs.get(job)
-        if found is None or found.spec is None:
+            return None
+        return JobView(found.state, found.spec.account)
+
+    def _found_or_gone(self, job: str) -> JobView:
+        found = self._find(job)
+        if found is None:
             raise errors.KingcupleverError(
                 f"There is no job {job}.", errors.Code.GONE
             )
         return found
 
+    def _use(self, job: str, told: messages.JobAnswer) -> JobView:
+        """Use another entry's word.
+
+        :raises errors.KingcupleverError: there is no such job, or nobody has
+            a view that is new enough to say so.
+        """
+        text = (
+            f"Job {job} is told by another entry, as of {told.age_ms} ms ago:"
+            f" {told.state or 'not known'}."
+        )
+        logs.info(logs.Part.ROUTE, text)
+        if told.known:
+            return JobView(told.state, told.account)
+        if told.age_ms > VIEW_S * 1000:
+            raise errors.KingcupleverError(
+                "The jobs can't be read at present.", errors.Code.OVERLOADED
+            )
+        raise errors.KingcupleverError(
+            f"There is no job {job}.", errors.Code.GONE
+        )
+
     async def cancel(self, job: str, timeout_s: float) -> None:
         """Cancel a job that :meth:`look` has found.
 
@@ -212,13 +287,15 @@
         self._hopeless_until = trio.current_time() + _HOPELESS_S
         return own.error
 
-    async def _refresh(self) -> None:
+    async def _refresh(self) -> bool:
+        """Read the log now; tell whether that went."""
         try:
             await self._follower.refresh(_REFRESH_S)
         except errors.LogUnavailable as error:
-            raise errors.KingcupleverError(
-                error.detail, errors.Code.OVERLOADED
-            ) from error
+            text = f"The jobs can't be read now: {error.detail}"
+            logs.info(logs.Part.LOG, text)
+            return False
+        return True
 
 
 class _OwnTry:
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/job_owner.py
@@ -19,7 +19,7 @@
 from kingcuplever import messages
 from kingcuplever import options
 from kingcuplever.process import advisers
-from kingcuplever.process import append_relay
+from kingcuplever.process import entry_links
 from kingcuplever.process import job_metrics
 from kingcuplever.process import maintainer
 from kingcuplever.process import owner_probe
@@ -66,12 +66,16 @@
         adviser: advisers.Adviser | None = None,
         hosts: maintainer.HostDesk | None = None,
         use_intents: Callable[[intent_board.IntentBoard], None] | None = None,
+        links: entry_links.EntryLinks | None = None,
+        serve: peers.Handler = peers.refuse,
     ) -> None:
         """Follow; nothing is claimed yet.
 
         :param address: where sides reach this process, ``host:port``.
         :param strength: 0 to 1; a stronger host claims earlier.
         :param use_intents: hears of what operators stated, where they do.
+        :param links: between entries, where others use them as well.
+        :param serve: serves what other entries ask for their callers.
         """
         self._use_intents = use_intents
         self._name = name
@@ -90,8 +94,9 @@
         self._reign: reigns.Reign | None = None
         self._resigned = False
         self._claiming = -1
-        self._probe = owner_probe.OwnerProbe(name, board)
-        self._probe_desk = owner_probe.ProbeDesk()
+        self._entries = links or entry_links.EntryLinks()
+        self._serve = serve
+        self._probe = owner_probe.OwnerProbe(name, board, self._entries, serve)
         board.listener = self
 
     @property
@@ -127,11 +132,8 @@
         if self._use_intents is not None:
             self._use_intents(self._board.intents)
 
-    async def listen(self, appender: producing.GroupAppender) -> None:
-        """Serve sides, and entries that ask for help, until cancelled.
-
-        :param appender: appends for entries that the log turns away.
-        """
+    async def listen(self) -> None:
+        """Serve sides and other entries until cancelled."""
         host, port = options.split_address(self._address)
 
         async def answer(
@@ -139,13 +141,9 @@
         ) -> messages.Message:
             if isinstance(message, messages.WorkerReport):
                 return await self._links.take(peer, message)
-            if isinstance(message, messages.KeepRecords):
-                return await append_relay.serve(appender, message)
             if isinstance(message, messages.OwnerProbe):
                 return self.answer_probe(peer, message)
-            raise errors.InvalidRequest(
-                "An entry takes reports, records and probes."
-            )
+            return await self._serve(peer, message)
 
         async def serve(stream: trio.SocketStream) -> None:
             peer = peers.Peer(stream, answer)
@@ -171,12 +169,13 @@
         owns = probe.epoch == self._claiming or (
             reign is not None and reign.epoch == probe.epoch
         )
-        return self._probe_desk.answer(peer, owns, failing_s, tries)
+        self._entries.asked_by(peer)
+        return owner_probe.answer(self._entries, owns, failing_s, tries)
 
     def lost(self, peer: peers.Peer) -> None:
         """A connection to this entry has ended."""
         self._links.lost(peer)
-        self._probe_desk.lost(peer)
+        self._entries.lost(peer)
 
     async def run(self) -> None:
         """Watch, claim and decide until cancelled."""
--- a/kingcuplever/process/owner_probe.py
+++ b/kingcuplever/process/owner_probe.py
@@ -13,6 +13,7 @@
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever import options
+from kingcuplever.process import entry_links
 from kingcuplever.process import owner_watch
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
@@ -32,13 +33,23 @@
 class OwnerProbe:
     """Keeps one link to the present owner's entry, if that is another."""
 
-    def __init__(self, name: str, board: job_board.JobBoard) -> None:
+    def __init__(
+        self,
+        name: str,
+        board: job_board.JobBoard,
+        links: entry_links.EntryLinks,
+        serve: peers.Handler = peers.refuse,
+    ) -> None:
         """Ask nobody yet.
 
         :param name: of this entry, which need not ask itself.
+        :param links: are told of the link to the owner's entry.
+        :param serve: serves what the owner's entry asks over that link.
         """
         self._name = name
         self._board = board
+        self._links = links
+        self._serve = serve
         self._told = owner_watch.Told(owner_watch.Word.SILENT)
         self._epoch = -1
         self._heard_at = float("-inf")
@@ -77,8 +88,12 @@
                 self._hear(owner.epoch, gone)
             return
         try:
-            async with peers.linked(stream) as peer:
-                await self._ask(peer, owner.epoch)
+            async with peers.linked(stream, self._serve) as peer:
+                self._links.reached_owner(peer)
+                try:
+                    await self._ask(peer, owner.epoch)
+                finally:
+                    self._links.lost(peer)
         except* errors.KingcupleverError as group:
             text = f"No word of {owner.entry}: {group.exceptions[0]}"
             logs.info(logs.Part.OWNER, text)
@@ -105,30 +120,18 @@
         self._heard_at = trio.current_time()
 
 
-class ProbeDesk:
-    """Answers other entries' probes, fewer each second where many ask."""
+def answer(
+    links: entry_links.EntryLinks, owns: bool, failing_s: float, tries: int
+) -> messages.OwnerStatus:
+    """Answer a probe; the more entries ask, the less often each may.
 
-    def __init__(self) -> None:
-        """Know no askers."""
-        self._asked_at: dict[peers.Peer, float] = {}
-
-    def answer(
-        self, peer: peers.Peer, owns: bool, failing_s: float, tries: int
-    ) -> messages.OwnerStatus:
-        """Answer one probe.
-
-        :param failing_s: for how long the present append has been failing.
-        :param tries: tries of it that failed.
-        """
-        self._asked_at[peer] = trio.current_time()
-        period_s = max(_PERIOD_S, len(self._asked_at) / _PROBES_PER_S)
-        return messages.OwnerStatus(
-            owns, int(failing_s * 1000), tries, int(period_s * 1000)
-        )
-
-    def lost(self, peer: peers.Peer) -> None:
-        """A connection has ended."""
-        self._asked_at.pop(peer, None)
+    :param failing_s: for how long the present append has been failing.
+    :param tries: tries of it that failed.
+    """
+    period_s = max(_PERIOD_S, links.askers / _PROBES_PER_S)
+    return messages.OwnerStatus(
+        owns, int(failing_s * 1000), tries, int(period_s * 1000)
+    )
 
 
 def _read_status(status: messages.OwnerStatus, now: float) -> owner_watch.Told:
--- a/tests/scripted_log.py
+++ b/tests/scripted_log.py
@@ -12,13 +12,17 @@
 
 
 class ScriptedLog:
-    """Answers appends as told, then takes them; a lost one takes effect."""
+    """Answers appends as told, then takes them; a lost one takes effect.
+
+    :ivar unreadable: whether it can't be read.
+    """
 
     def __init__(self, *script: str) -> None:
         """Follow a script, the last line for good if it ends in ``*``."""
         self.taken: list[keyed_log.Stamp] = []
         self.records: list[keyed_log.KeyedRecord] = []
         self.tries = 0
+        self.unreadable = False
         self._script = [*script]
 
     async def append(
@@ -50,6 +54,8 @@
         self, topic: str, offset: int, wait_ms: int
     ) -> keyed_log.Batch:
         """Give nothing."""
+        if self.unreadable:
+            raise errors.LogUnavailable("turned away")
         return keyed_log.Batch(0, 0, ())
 
     async def newest(self, topic: str) -> keyed_log.Batch:
--- a/tests/test_job_desk.py
+++ b/tests/test_job_desk.py
@@ -10,7 +10,7 @@
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import messages
-from kingcuplever.process import append_relay
+from kingcuplever.process import entry_help
 from kingcuplever.process import job_desk
 from kingcuplever.process import job_metrics
 from kingcuplever.process.scheduling import model
@@ -35,6 +35,8 @@
         """Do the same each time."""
         self.outcome = outcome
         self.asked = 0
+        self.told: messages.JobAnswer | None = None
+        self.looked = 0
 
     async def append(
         self, records: Sequence[keyed_log.KeyedRecord], timeout_s: float
@@ -47,6 +49,11 @@
         if self.outcome == "unknown":
             raise errors.LogUnavailable("no word")
 
+    async def look(self, job: str) -> messages.JobAnswer | None:
+        """Tell what the test says."""
+        self.looked += 1
+        return self.told
+
 
 class Setting:
     """A desk between a scripted log and a scripted entry."""
@@ -58,12 +65,16 @@
         self.appender = producing.GroupAppender(
             lambda: producing.Producer(self.log, "jobs", "entry-1", 1)
         )
-        board = job_board.JobBoard()
+        self.board = job_board.JobBoard()
         self.follower = following.Follower(
-            self.log, job_records.TOPIC, board, 0.1, job_metrics.JobMetrics()
+            self.log,
+            job_records.TOPIC,
+            self.board,
+            0.1,
+            job_metrics.JobMetrics(),
         )
         self.desk = job_desk.JobDesk(
-            board, self.follower, self.appender, self.relay
+            self.board, self.follower, self.appender, self.relay
         )
 
     def run(self, main: Callable[[], Awaitable[None]]) -> None:
@@ -77,6 +88,19 @@
 
         trio.run(whole, clock=trio.testing.MockClock(autojump_threshold=0))
 
+    def take(self, progress: job_records.Progress) -> None:
+        """Have the entry know the job, and how far it is."""
+        records = (
+            job_records.submitted(JOB, SPEC),
+            job_records.progress(progress),
+        )
+        self.board.take(
+            [
+                keyed_log.StoredRecord(offset, record.key, record.value)
+                for offset, record in enumerate(records)
+            ]
+        )
+
     async def submit(self) -> str:
         """Hand the job in; give the code of the answer, or nothing."""
         try:
@@ -145,7 +169,7 @@
 
     async def main() -> None:
         wanted = messages.KeepRecords((row,), 1000)
-        reply = await append_relay.serve(setting.appender, wanted)
+        reply = await entry_help.serve_append(setting.appender, wanted)
         assert reply.outcome == outcome
 
     setting.run(main)
@@ -158,7 +182,7 @@
 
     async def main() -> None:
         with pytest.raises(errors.InvalidRequest):
-            await append_relay.serve(setting.appender, wanted)
+            await entry_help.serve_append(setting.appender, wanted)
         assert setting.log.tries == 0
 
     setting.run(main)
@@ -179,3 +203,75 @@
         assert setting.desk.is_ready
 
     setting.run(main)
+
+
+RUNNING = job_records.Progress(JOB, "running", (), ())
+
+
+@pytest.mark.parametrize(
+    ("age_s", "own", "told", "shown"),
+    [
+        (0.5, "running", messages.JobAnswer(True, "completed", "", 0), ""),
+        (5.0, "running", messages.JobAnswer(True, "completed", "", 90), "yes"),
+        (5.0, "running", messages.JobAnswer(True, "completed", "", 9000), ""),
+        (5.0, "running", None, ""),
+        (5.0, "completed", messages.JobAnswer(True, "running", "", 0), ""),
+    ],
+)
+def test_job_that_is_over_is_shown_where_the_log_can_not_be_read(
+    age_s: float, own: str, told: messages.JobAnswer | None, shown: str
+) -> None:
+    """SHORT on phulrenu-kl: callers of one place were told old states.
+
+    Their entry was cut from the store for nine seconds, and said "running"
+    of jobs that had ended; whoever's view is newer is believed.
+    """
+    setting = Setting("refused", f"{scripted_log.REFUSED}*")
+    setting.relay.told = told
+
+    async def main() -> None:
+        setting.take(RUNNING._replace(state=own))
+        setting.follower.seen_at = trio.current_time()
+        await trio.sleep(age_s)
+        found = await setting.desk.look(JOB)
+        assert found.state == ("completed" if shown else own)
+
+    setting.run(main)
+
+
+@pytest.mark.parametrize(
+    ("told", "code"),
+    [
+        (messages.JobAnswer(False, "", "", 100), errors.Code.GONE),
+        (messages.JobAnswer(False, "", "", 4000), errors.Code.OVERLOADED),
+        (None, errors.Code.OVERLOADED),
+    ],
+)
+def test_job_counts_as_unknown_only_by_a_new_view(
+    told: messages.JobAnswer | None, code: errors.Code
+) -> None:
+    setting = Setting("refused")
+    setting.log.unreadable = True
+    setting.follower.offset = 0
+    setting.relay.told = told
+
+    async def main() -> None:
+        with pytest.raises(errors.KingcupleverError) as caught:
+            await setting.desk.look(JOB)
+        assert caught.value.code is code
+
+    setting.run(main)
+
+
+def test_entry_tells_others_how_old_its_view_is() -> None:
+    setting = Setting("refused")
+
+    async def main() -> None:
+        setting.take(RUNNING)
+        setting.follower.seen_at = trio.current_time()
+        await trio.sleep(2.0)
+        assert await setting.desk.tell(JOB) == messages.JobAnswer(
+            True, "running", "stable", 2000
+        )
+
+    setting.run(main)
--- a/tests/test_owner_probe.py
+++ b/tests/test_owner_probe.py
@@ -5,6 +5,7 @@
 
 from kingcuplever.connection import peer as peers
 from kingcuplever import messages
+from kingcuplever.process import entry_links
 from kingcuplever.process import owner_probe
 from kingcuplever.process import owner_watch
 from kingcuplever.process.stored import job_board
@@ -31,7 +32,9 @@
         board = job_board.JobBoard()
         address = f"127.0.0.1:{port}"
         board.owner = job_records.Owner(_EPOCH, "one", address, 0)
-        self.probe = owner_probe.OwnerProbe("two", board)
+        self.probe = owner_probe.OwnerProbe(
+            "two", board, entry_links.EntryLinks()
+        )
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Answer on one connection."""
@@ -132,18 +135,14 @@
 
 def test_owner_with_many_askers_is_asked_less_often() -> None:
     """The probes of a whole region's entries stay a small load."""
-
-    async def run() -> None:
-        desk = owner_probe.ProbeDesk()
-        askers = [
-            peers.Peer(trio.testing.memory_stream_pair()[0], peers.refuse)
-            for _ in range(50)
-        ]
-        periods = [desk.answer(peer, True, 0.0, 0).next_ms for peer in askers]
-        assert periods[0] == 250
-        assert periods[-1] == 2000
-        for peer in askers[1:]:
-            desk.lost(peer)
-        assert desk.answer(askers[0], True, 0.0, 0).next_ms == 250
-
-    trio.run(run)
+    links = entry_links.EntryLinks()
+    askers = [
+        peers.Peer(trio.testing.memory_stream_pair()[0], peers.refuse)
+        for _ in range(50)
+    ]
+    for peer in askers:
+        links.asked_by(peer)
+    assert owner_probe.answer(links, True, 0.0, 0).next_ms == 2000
+    for peer in askers[1:]:
+        links.lost(peer)
+    assert owner_probe.answer(links, True, 0.0, 0).next_ms == 250
