Room for the requests' path: process/routing

Members, targets, keys, limits, the router and its task move; no code changes. Thirty flat files in process/ mixed the requests' path, a worker's agent and the owner's tasks. mypy, flake8 and the decisions' tests pass.

--- a/kingcuplever/process/entry.py
+++ b/kingcuplever/process/entry.py
@@ -22,11 +22,11 @@
 from kingcuplever.process import job_metrics
 from kingcuplever.process import job_owner
 from kingcuplever.process import leases
-from kingcuplever.process import limits
-from kingcuplever.process import members
 from kingcuplever.process import metrics
 from kingcuplever.process import platform_clients
-from kingcuplever.process import router_task
+from kingcuplever.process.routing import limits
+from kingcuplever.process.routing import members
+from kingcuplever.process.routing import router_task
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import scheduler as schedulers
 from kingcuplever.process import signals
--- a/kingcuplever/process/router_task.py
+++ b/kingcuplever/process/routing/router_task.py
@@ -11,7 +11,7 @@
 import trio
 
 from kingcuplever import messages
-from kingcuplever.process import router as routers
+from kingcuplever.process.routing import router as routers
 from kingcuplever.version import configuration
 
 _TICK_S: Final = 0.05
--- a/kingcuplever/process/side.py
+++ b/kingcuplever/process/side.py
@@ -23,10 +23,10 @@
 from kingcuplever.process import job_metrics
 from kingcuplever.process import owner_link
 from kingcuplever.process import platform_clients
+from kingcuplever.process.routing import targets
 from kingcuplever.process import signals
 from kingcuplever.process.stored import following
 from kingcuplever.process.stored import job_records
-from kingcuplever.process import targets
 from kingcuplever.process import worker_agent
 from kingcuplever.request import dispatching
 
--- a/kingcuplever/request/caller.py
+++ b/kingcuplever/request/caller.py
@@ -15,11 +15,11 @@
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
-from kingcuplever.process import limits
-from kingcuplever.process import members
 from kingcuplever.process import metrics
-from kingcuplever.process import router as routers
-from kingcuplever.process import router_task
+from kingcuplever.process.routing import limits
+from kingcuplever.process.routing import members
+from kingcuplever.process.routing import router as routers
+from kingcuplever.process.routing import router_task
 from kingcuplever.request import headers
 from kingcuplever.request import keyed
 
--- a/kingcuplever/request/dispatching.py
+++ b/kingcuplever/request/dispatching.py
@@ -14,8 +14,8 @@
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
-from kingcuplever.process import keys
-from kingcuplever.process import targets
+from kingcuplever.process.routing import keys
+from kingcuplever.process.routing import targets
 
 # A request may wait so long at the side for a slot, with so many others.
 _SLOT_WAIT_S: Final = 0.2
--- a/kingcuplever/request/headers.py
+++ b/kingcuplever/request/headers.py
@@ -6,7 +6,7 @@
 
 from kingcuplever.connection import http_server
 from kingcuplever import errors
-from kingcuplever.process import router as routers
+from kingcuplever.process.routing import router as routers
 
 DEFAULT_TIMEOUT_MS: Final = 10_000
 MAX_TIMEOUT_MS: Final = 60_000
--- a/kingcuplever/request/keyed.py
+++ b/kingcuplever/request/keyed.py
@@ -12,7 +12,7 @@
 
 from kingcuplever import errors
 from kingcuplever import messages
-from kingcuplever.process import members
+from kingcuplever.process.routing import members
 
 # Sides that witness each key.
 _HOLDERS: Final = 2
--- a/kingcuplever/request/operator.py
+++ b/kingcuplever/request/operator.py
@@ -20,9 +20,9 @@
 from kingcuplever.process import config_holder
 from kingcuplever.process import intent_decider
 from kingcuplever.process import job_owner
-from kingcuplever.process import members
 from kingcuplever.process import metrics
-from kingcuplever.process import router_task
+from kingcuplever.process.routing import members
+from kingcuplever.process.routing import router_task
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import following
 from kingcuplever.process.stored import job_board
