Room for what runs beside a worker: process/agent

The agent, its lives, orders and state, its link to the owner and the worker's interface move; no code changes. mypy, flake8 and the agent's tests pass.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -16,7 +16,7 @@
 from bench import processes
 from kingcuplever.command import tables
 from kingcuplever import messages
-from kingcuplever.process import router as routers
+from kingcuplever.process.routing import router as routers
 from standins import callers
 from standins import fleet as fleets
 
--- a/kingcuplever/platform/executor.py
+++ b/kingcuplever/platform/executor.py
@@ -6,7 +6,7 @@
 
 from kingcuplever.connection import http_client
 from kingcuplever import errors
-from kingcuplever.process import executor as executors
+from kingcuplever.process.agent import executor as executors
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 
--- a/kingcuplever/platform/registry.py
+++ b/kingcuplever/platform/registry.py
@@ -7,7 +7,7 @@
 from kingcuplever.connection import http_server
 from kingcuplever import errors
 from kingcuplever.platform import executor
-from kingcuplever.process import worker_agent
+from kingcuplever.process.agent import worker_agent
 
 PATH: Final = "/instances/"
 
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -20,20 +20,20 @@
 from kingcuplever.platform import registry
 from kingcuplever.platform import settings
 from kingcuplever.platform import store
+from kingcuplever.process.agent import owner_link
+from kingcuplever.process.agent import worker_agent
 from kingcuplever.process import entry_help
 from kingcuplever.process import entry_links
 from kingcuplever.process import job_desk
 from kingcuplever.process import job_metrics
 from kingcuplever.process import job_owner
 from kingcuplever.process import leases
-from kingcuplever.process import owner_link
 from kingcuplever.process.scheduling import scheduler as schedulers
 from kingcuplever.process import signals
 from kingcuplever.process.stored import following
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import producing
-from kingcuplever.process import worker_agent
 from kingcuplever.version import job_queues
 
 # The operator's records are few; they are read as soon as they come.
--- a/kingcuplever/process/owner_link.py
+++ b/kingcuplever/process/agent/owner_link.py
@@ -17,8 +17,8 @@
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever import options
+from kingcuplever.process.agent import worker_agent
 from kingcuplever.process.stored import job_records
-from kingcuplever.process import worker_agent
 
 TOPIC: Final = "owner"
 
--- a/kingcuplever/process/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -12,12 +12,12 @@
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
-from kingcuplever.process import executor as executors
+from kingcuplever.process.agent import executor as executors
+from kingcuplever.process.agent import worker_orders
+from kingcuplever.process.agent import worker_state
 from kingcuplever.process import job_metrics
 from kingcuplever.process import leases
 from kingcuplever.process.scheduling import fleet
-from kingcuplever.process import worker_orders
-from kingcuplever.process import worker_state
 
 # How long one call to the worker may wait for an end; with it the period
 # of the lists, and of the leases' prolongation.
--- a/kingcuplever/process/worker_lives.py
+++ b/kingcuplever/process/agent/worker_lives.py
@@ -1,6 +1,6 @@
 """Which life of a worker is the present one, as its side can verify it."""
 
-from kingcuplever.process import executor as executors
+from kingcuplever.process.agent import executor as executors
 
 
 class Registered:
--- a/kingcuplever/process/worker_orders.py
+++ b/kingcuplever/process/agent/worker_orders.py
@@ -13,10 +13,10 @@
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
-from kingcuplever.process import executor as executors
+from kingcuplever.process.agent import executor as executors
+from kingcuplever.process.agent import worker_state
 from kingcuplever.process import job_metrics
 from kingcuplever.process.scheduling import fleet
-from kingcuplever.process import worker_state
 
 # Pause after a call that got no answer.
 _RETRY_S: Final = 0.15
--- a/kingcuplever/process/worker_state.py
+++ b/kingcuplever/process/agent/worker_state.py
@@ -2,10 +2,10 @@
 
 import trio
 
-from kingcuplever.process import executor as executors
+from kingcuplever.process.agent import executor as executors
+from kingcuplever.process.agent import worker_lives
 from kingcuplever.process import leases
 from kingcuplever.process.scheduling import fleet
-from kingcuplever.process import worker_lives
 
 
 class WorkerState:
--- a/kingcuplever/process/platform_clients.py
+++ b/kingcuplever/process/platform_clients.py
@@ -6,8 +6,8 @@
 from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
 from kingcuplever.connection import keyed_log
-from kingcuplever.process import executor
-from kingcuplever.process import worker_agent
+from kingcuplever.process.agent import executor
+from kingcuplever.process.agent import worker_agent
 
 
 class PlatformClients(NamedTuple):
--- a/kingcuplever/process/reign.py
+++ b/kingcuplever/process/reign.py
@@ -15,10 +15,10 @@
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever.process import advisers
+from kingcuplever.process.agent import owner_link
 from kingcuplever.process import evidence_writer
 from kingcuplever.process import job_metrics
 from kingcuplever.process import maintainer
-from kingcuplever.process import owner_link
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import fragmentation
 from kingcuplever.process.scheduling import scheduler as schedulers
--- a/kingcuplever/process/side.py
+++ b/kingcuplever/process/side.py
@@ -20,14 +20,14 @@
 from kingcuplever import messages
 from kingcuplever import options
 from kingcuplever import plain
+from kingcuplever.process.agent import owner_link
+from kingcuplever.process.agent import worker_agent
 from kingcuplever.process import job_metrics
-from kingcuplever.process import owner_link
 from kingcuplever.process import platform_clients
 from kingcuplever.process.routing import targets
 from kingcuplever.process import signals
 from kingcuplever.process.stored import following
 from kingcuplever.process.stored import job_records
-from kingcuplever.process import worker_agent
 from kingcuplever.request import dispatching
 
 _RECONNECT_S: Final = 0.3
--- a/tests/test_key_model.py
+++ b/tests/test_key_model.py
@@ -7,7 +7,7 @@
 
 import random
 
-from kingcuplever.process import keys
+from kingcuplever.process.routing import keys
 import pytest
 
 from kingcuplever import messages
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -11,11 +11,11 @@
 from kingcuplever import intents
 from kingcuplever import options
 from kingcuplever import plain
+from kingcuplever.process.routing import targets
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import intent_records
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
-from kingcuplever.process import targets
 from kingcuplever.request import headers
 from kingcuplever.version import configuration
 import pytest
--- a/tests/test_request_decisions.py
+++ b/tests/test_request_decisions.py
@@ -3,9 +3,9 @@
 import dataclasses
 
 from kingcuplever import messages
-from kingcuplever.process import keys
-from kingcuplever.process import limits
-from kingcuplever.process import router as routers
+from kingcuplever.process.routing import keys
+from kingcuplever.process.routing import limits
+from kingcuplever.process.routing import router as routers
 from kingcuplever.version import configuration
 
 
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -7,12 +7,12 @@
 
 from kingcuplever import errors
 from kingcuplever import messages
-from kingcuplever.process import executor as executors
+from kingcuplever.process.agent import executor as executors
+from kingcuplever.process.agent import worker_agent
 from kingcuplever.process import job_metrics
 from kingcuplever.process import leases
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
-from kingcuplever.process import worker_agent
 
 TASK = "5c0e7a21d94b36f8.0.0.0"
 LEASE_MS = 6000
