--- a/bench/emulator.py
+++ b/bench/emulator.py
@@ -11,7 +11,7 @@
 
 from bench import workload
 from kingcuplever.connection import keyed_log
-from kingcuplever.process import planner
+from kingcuplever.process.owner import planner
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import fragmentation
 from kingcuplever.process.scheduling import model
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -26,8 +26,8 @@
 from kingcuplever.process import entry_links
 from kingcuplever.process import job_desk
 from kingcuplever.process import job_metrics
-from kingcuplever.process import job_owner
 from kingcuplever.process import leases
+from kingcuplever.process.owner import job_owner
 from kingcuplever.process.scheduling import scheduler as schedulers
 from kingcuplever.process import signals
 from kingcuplever.process.stored import following
--- a/kingcuplever/process/entry.py
+++ b/kingcuplever/process/entry.py
@@ -20,9 +20,9 @@
 from kingcuplever import options
 from kingcuplever.process import config_holder
 from kingcuplever.process import job_metrics
-from kingcuplever.process import job_owner
 from kingcuplever.process import leases
 from kingcuplever.process import metrics
+from kingcuplever.process.owner import job_owner
 from kingcuplever.process import platform_clients
 from kingcuplever.process.routing import limits
 from kingcuplever.process.routing import members
--- a/kingcuplever/process/evidence.py
+++ b/kingcuplever/process/evidence.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from kingcuplever import plain
-from kingcuplever.process import planner
+from kingcuplever.process.owner import planner
 from kingcuplever.process.stored import evidence_records
 
 Verdict = Literal["kept", "broken", "not provable"]
--- a/kingcuplever/process/intent_decider.py
+++ b/kingcuplever/process/owner/intent_decider.py
@@ -14,9 +14,9 @@
 from kingcuplever import errors
 from kingcuplever import intents
 from kingcuplever import logs
-from kingcuplever.process import job_owner
-from kingcuplever.process import planner
-from kingcuplever.process import reign as reigns
+from kingcuplever.process.owner import job_owner
+from kingcuplever.process.owner import planner
+from kingcuplever.process.owner import reign as reigns
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import following
 from kingcuplever.process.stored import intent_records
--- a/kingcuplever/process/job_owner.py
+++ b/kingcuplever/process/owner/job_owner.py
@@ -21,15 +21,15 @@
 from kingcuplever.process import advisers
 from kingcuplever.process import entry_links
 from kingcuplever.process import job_metrics
-from kingcuplever.process import maintainer
-from kingcuplever.process import owner_probe
-from kingcuplever.process import owner_watch
-from kingcuplever.process import reign as reigns
+from kingcuplever.process.owner import maintainer
+from kingcuplever.process.owner import owner_probe
+from kingcuplever.process.owner import owner_watch
+from kingcuplever.process.owner import reign as reigns
+from kingcuplever.process.owner import side_links
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import rounds
 from kingcuplever.process.scheduling import scheduler as schedulers
-from kingcuplever.process import side_links
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import following
 from kingcuplever.process.stored import intent_board
--- a/kingcuplever/process/owner_probe.py
+++ b/kingcuplever/process/owner/owner_probe.py
@@ -14,7 +14,7 @@
 from kingcuplever import messages
 from kingcuplever import options
 from kingcuplever.process import entry_links
-from kingcuplever.process import owner_watch
+from kingcuplever.process.owner import owner_watch
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
 
--- a/kingcuplever/process/reign.py
+++ b/kingcuplever/process/owner/reign.py
@@ -16,13 +16,13 @@
 from kingcuplever import messages
 from kingcuplever.process import advisers
 from kingcuplever.process.agent import owner_link
-from kingcuplever.process import evidence_writer
 from kingcuplever.process import job_metrics
-from kingcuplever.process import maintainer
+from kingcuplever.process.owner import evidence_writer
+from kingcuplever.process.owner import maintainer
+from kingcuplever.process.owner import side_links
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import fragmentation
 from kingcuplever.process.scheduling import scheduler as schedulers
-from kingcuplever.process import side_links
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
--- a/kingcuplever/process/views.py
+++ b/kingcuplever/process/views.py
@@ -2,7 +2,7 @@
 
 from kingcuplever import intents
 from kingcuplever import plain
-from kingcuplever.process import reign as reigns
+from kingcuplever.process.owner import reign as reigns
 from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import bindings
 from kingcuplever.process.scheduling import fleet
--- a/kingcuplever/request/operator.py
+++ b/kingcuplever/request/operator.py
@@ -18,9 +18,9 @@
 from kingcuplever import intents
 from kingcuplever import plain
 from kingcuplever.process import config_holder
-from kingcuplever.process import intent_decider
-from kingcuplever.process import job_owner
 from kingcuplever.process import metrics
+from kingcuplever.process.owner import intent_decider
+from kingcuplever.process.owner import job_owner
 from kingcuplever.process.routing import members
 from kingcuplever.process.routing import router_task
 from kingcuplever.process.stored import evidence_records
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -7,7 +7,7 @@
 import hypothesis
 from hypothesis import strategies as st
 from kingcuplever import intents
-from kingcuplever.process import planner
+from kingcuplever.process.owner import planner
 from kingcuplever.process.scheduling import bindings
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -9,7 +9,7 @@
 
 from kingcuplever import intents
 from kingcuplever.process import evidence
-from kingcuplever.process import planner
+from kingcuplever.process.owner import planner
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import evidence_records
 import pytest
--- a/tests/test_intent_decider.py
+++ b/tests/test_intent_decider.py
@@ -5,8 +5,8 @@
 
 from kingcuplever.connection import keyed_log
 from kingcuplever import intents
-from kingcuplever.process import intent_decider
-from kingcuplever.process import job_owner
+from kingcuplever.process.owner import intent_decider
+from kingcuplever.process.owner import job_owner
 from kingcuplever.process.scheduling import scheduler as schedulers
 from kingcuplever.process.stored import following
 from tests import pool as pools
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -14,7 +14,7 @@
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever.platform import hosts as platform_hosts
-from kingcuplever.process import maintainer
+from kingcuplever.process.owner import maintainer
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import rounds
 from kingcuplever.process.stored import job_records
--- a/tests/test_owner_probe.py
+++ b/tests/test_owner_probe.py
@@ -6,8 +6,8 @@
 from kingcuplever.connection import peer as peers
 from kingcuplever import messages
 from kingcuplever.process import entry_links
-from kingcuplever.process import owner_probe
-from kingcuplever.process import owner_watch
+from kingcuplever.process.owner import owner_probe
+from kingcuplever.process.owner import owner_watch
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
 import trio
--- a/tests/test_owner_watch.py
+++ b/tests/test_owner_watch.py
@@ -1,6 +1,6 @@
 """When an entry takes over from an owner that is silent."""
 
-from kingcuplever.process import owner_watch
+from kingcuplever.process.owner import owner_watch
 
 
 def first_claim(
