Urgent work keeps away from hosts that are learned to be slow

Cause: one host in each rack takes 1.3 times as long; an urgent job may take half as long again in all. Ruled out: data in another rack (none was away), estimates (the same for all tasks of a step).

Urgent work, and room kept for it, is on other hosts where it can be.

--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -143,7 +143,7 @@
         """
         if group in self._claims:
             return
-        urgent = self._book.queue_of(group.job).priority == 0
+        urgent = self._is_urgent(group)
         waited_s = look.now - group.ready_at
         if not urgent and waited_s <= self._book.policy.patience_s:
             self._wait(group, "no room for all its tasks")
@@ -207,6 +207,7 @@
             lambda name: self._count_on(group, name),
             allow_slow,
             self._book.accounts.strangers_cells(group.job.spec),
+            look.slow if self._is_urgent(group) else frozenset(),
         )
         if places is None:
             self._claims.hold(group, rooms)
@@ -218,6 +219,9 @@
             rooms[name] = rooms[name].minus(group.spec.need)
         return True
 
+    def _is_urgent(self, group: work.Group) -> bool:
+        return self._book.queue_of(group.job).priority == 0
+
     def _count_on(self, group: work.Group, name: str) -> int:
         """Count the tasks of a group's step on one worker."""
         if not group.spec.most_per_worker:
@@ -233,7 +237,7 @@
         self, group: work.Group, places: placement.Places, now: float
     ) -> None:
         self._book.ready.discard(group)
-        group.begin_run(places.workers)
+        group.begin_run(places.workers, places.slow, now)
         group.tickets = {
             name: self._book.advice.ticket(group.step_name, name, now)
             for name in set(places.workers)
--- a/kingcuplever/process/scheduling/reserve.py
+++ b/kingcuplever/process/scheduling/reserve.py
@@ -38,13 +38,15 @@
         less than the worker's own.
     :return: one worker for each task, or nothing if they never suffice.
     """
+    run_s = group.spec.estimate_ms / 1000
     offers: list[_Offer] = []
     for worker in able:
+        late_s = (book.speeds.delay(worker.side) - 1.0) * run_s
         for wait_s in _waits(book, group, worker, rooms, now):
-            offers.append(_Offer(wait_s, worker.name, worker.rack))
+            offers.append(_Offer(wait_s + late_s, worker.name, worker.rack))
     offers.sort()
     spec = group.spec
-    slow_s = (_SLOW_FACTOR - 1.0) * spec.estimate_ms / 1000
+    slow_s = (_SLOW_FACTOR - 1.0) * run_s
     choices: list[tuple[float, tuple[str, ...]]] = []
     for rack in sorted({offer.rack for offer in offers}):
         inside = [offer for offer in offers if offer.rack == rack]
