A gang waits for its rack where its work is done sooner there

Cause: what has waited for as long as one run takes may be placed where it is slow, without a look at when the right place is free. Ruled out: no room in any rack (tasks on whole workers ended at 39.3, 39.7, 40.5 and 40.7).

Change: in a pool that is over half full a gang, or work with its data in one rack, is placed where it is slow only if it would be done sooner there, as far as progress tells. In a half empty pool the older rule stands, so that nothing waits beside idle workers. The new case of test_loads.py failed before.

--- a/kingcuplever/process/scheduling/look.py
+++ b/kingcuplever/process/scheduling/look.py
@@ -1,5 +1,7 @@
 """One pass over all that waits: what is free, and what was found so far."""
 
+import functools
+
 from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import bindings
 from kingcuplever.process.scheduling import book as books
@@ -37,6 +39,13 @@
         self._urgent_gpus: dict[str, int] | None = None
         self._usage: accounts.Usage | None = None
 
+    @functools.cached_property
+    def is_half_free(self) -> bool:
+        """Whether half of the accelerators are free."""
+        whole = sum(worker.capacity.gpus for worker in self._usable)
+        free = sum(max(0, worker.free.gpus) for worker in self._usable)
+        return free * 2 >= whole
+
     def able(self, group: work.Group, pool: str) -> list[fleet.Worker]:
         """Give the workers that may run a group's tasks, room aside."""
         key = (pool, group.spec.label, group.job.spec.data_centre)
--- a/kingcuplever/process/scheduling/placement.py
+++ b/kingcuplever/process/scheduling/placement.py
@@ -56,6 +56,11 @@
     )
 
 
+def is_bound(spec: model.StepSpec) -> bool:
+    """Tell whether work is slow in some racks."""
+    return bool(spec.data_rack) or (spec.gang and spec.same_rack)
+
+
 def may_be_slow(group: work.Group, now: float) -> bool:
     """Tell whether a group has waited long enough for the right place.
 
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -148,7 +148,8 @@
         if not urgent and waited_s <= self._book.policy.patience_s:
             self._wait(group, "no room for all its tasks")
             return
-        kept = reserve.choose(self._book, group, able, look.rooms, look.now)
+        plan = reserve.choose(self._book, group, able, look.rooms, look.now)
+        kept = () if plan is None else plan.workers
         for name in kept:
             look.rooms[name] = look.rooms[name].minus(group.spec.need)
         self._wait(group, f"room is kept on {', '.join(kept) or 'no worker'}")
@@ -193,8 +194,8 @@
             the group's account; the cells may be in several racks.
         """
         rooms, now = look.rooms, look.now
-        allow_slow = placement.may_be_slow(group, now)
         self._claims.release(group, rooms)
+        allow_slow = self._may_be_slow(group, able, look)
         usable = rooms
         if counts:
             allow_slow = True
@@ -219,6 +220,21 @@
             rooms[name] = rooms[name].minus(group.spec.need)
         return True
 
+    def _may_be_slow(
+        self, group: work.Group, able: list[fleet.Worker], look: looks.Look
+    ) -> bool:
+        """Tell whether a group may be placed where its work is slow.
+
+        In a busy pool the right place may be free soon enough for the work
+        to be done earlier there.
+        """
+        if not placement.may_be_slow(group, look.now):
+            return False
+        if not placement.is_bound(group.spec) or look.is_half_free:
+            return True
+        plan = reserve.choose(self._book, group, able, look.rooms, look.now)
+        return plan is None or plan.slow
+
     def _is_urgent(self, group: work.Group) -> bool:
         return self._book.queue_of(group.job).priority == 0
 
--- a/kingcuplever/process/scheduling/reserve.py
+++ b/kingcuplever/process/scheduling/reserve.py
@@ -25,18 +25,31 @@
     rack: str
 
 
+class Plan(NamedTuple):
+    """Workers to keep for a group, one for each task.
+
+    :ivar wait_s: until all have room, and how much longer the work then
+        takes than it might.
+    :ivar slow: some task is away from its data, or the gang spans racks.
+    """
+
+    wait_s: float
+    slow: bool
+    workers: tuple[str, ...]
+
+
 def choose(
     book: books.Book,
     group: work.Group,
     able: list[fleet.Worker],
     rooms: placement.Rooms,
     now: float,
-) -> tuple[str, ...]:
-    """Choose workers to keep for a group, the soonest free first.
+) -> Plan | None:
+    """Choose workers to keep for a group, by when its work would be done.
 
     :param rooms: free room by worker; where others have room kept it is
         less than the worker's own.
-    :return: one worker for each task, or nothing if they never suffice.
+    :return: none if the workers never suffice.
     """
     run_s = group.spec.estimate_ms / 1000
     offers: list[_Offer] = []
@@ -46,31 +59,27 @@
             offers.append(_Offer(wait_s + late_s, worker.name, worker.rack))
     offers.sort()
     spec = group.spec
-    slow_s = (_SLOW_FACTOR - 1.0) * run_s
-    choices: list[tuple[float, tuple[str, ...]]] = []
+    plans: list[Plan] = []
     for rack in sorted({offer.rack for offer in offers}):
         inside = [offer for offer in offers if offer.rack == rack]
         far = bool(spec.data_rack) and rack != spec.data_rack
-        _add(choices, group, inside, slow_s if far else 0.0)
-    is_bound = bool(spec.data_rack) or (spec.gang and spec.same_rack)
-    _add(choices, group, offers, slow_s if is_bound else 0.0)
-    return min(choices, default=(0.0, ()))[1]
+        _add(plans, group, inside, far)
+    _add(plans, group, offers, placement.is_bound(spec))
+    return min(plans, default=None)
 
 
 def _add(
-    choices: list[tuple[float, tuple[str, ...]]],
-    group: work.Group,
-    offers: list[_Offer],
-    slow_s: float,
+    plans: list[Plan], group: work.Group, offers: list[_Offer], slow: bool
 ) -> None:
-    """Add the soonest of some offers, if they suffice.
-
-    :param slow_s: how much longer the work takes there.
-    """
+    """Add the soonest of some offers, if they suffice."""
     count = len(group.tasks)
-    if len(offers) >= count:
-        wait_s = offers[count - 1].wait_s + slow_s
-        choices.append((wait_s, tuple(o.worker for o in offers[:count])))
+    if len(offers) < count:
+        return
+    wait_s = offers[count - 1].wait_s
+    if slow:
+        wait_s += (_SLOW_FACTOR - 1.0) * group.spec.estimate_ms / 1000
+    workers = tuple(offer.worker for offer in offers[:count])
+    plans.append(Plan(wait_s, slow, workers))
 
 
 def _waits(
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -232,3 +232,30 @@
     running.submit(batch, pool.spec(pool.step(3, gpus=8), queue="batch"))
     running.settle(2)
     assert len(running.running(batch)) == 3
+
+
+def test_urgent_gang_waits_for_its_rack_where_that_is_done_sooner() -> None:
+    """SHORT on phulrenu-kl: a gang spanned racks just before one was free.
+
+    It had waited for as long as one run takes, and then took three times as
+    long: 17.3 s, so that its job earned nothing.
+    """
+    running = pool.Pool(6)
+    short, urgent = "b" * 16, "a" * 16
+    whole = pool.step(6, gpus=8, cpu_milli=100_000, estimate_ms=10_000)
+    running.submit(short, pool.spec(whole, queue="batch"))
+    running.settle()
+    running.pass_time(4.0)
+    gang = pool.step(2, gpus=8, gang=True, same_rack=True, estimate_ms=3000)
+    running.submit(urgent, pool.spec(gang, queue="urgent"))
+    running.pass_time(4.0)
+    for number in (0, 3):
+        fake = running.workers[number]
+        fake.end(next(iter(fake.running)), "done")
+    running.pass_time(0.5)
+    assert not running.running(urgent)
+    fake = running.workers[1]
+    fake.end(next(iter(fake.running)), "done")
+    running.pass_time(0.5)
+    racks = {fake.rack for fake in running.running(urgent).values()}
+    assert racks == {running.workers[0].rack}
