--- a/kingcuplever/process/scheduling/book.py
+++ b/kingcuplever/process/scheduling/book.py
@@ -9,7 +9,6 @@
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import headroom
 from kingcuplever.process.scheduling import model
-from kingcuplever.process.scheduling import speeds
 from kingcuplever.process.scheduling import waiting
 from kingcuplever.process.scheduling import work
 from kingcuplever.process.stored import evidence_records
@@ -65,7 +64,6 @@
     :ivar lost_work: core-seconds thrown away so far, by cause.
     :ivar accounts: what operators promised, and the cells that are kept.
     :ivar headroom: room that is kept for urgent work.
-    :ivar speeds: how fast hosts are beside one another.
     :ivar wall_ms: time of day of the present decision.
     :ivar settles_at: steady time from which on the workers are known.
     :ivar newest_at: steady time when the newest worker was first heard.
@@ -88,7 +86,6 @@
         self.lost_work: dict[str, float] = {}
         self.accounts = accounts.Accounts()
         self.headroom = headroom.Headroom()
-        self.speeds = speeds.Speeds()
         self.wall_ms = 0
         self.settles_at = 0.0
         self.newest_at = float("inf")
--- a/kingcuplever/process/scheduling/jobs.py
+++ b/kingcuplever/process/scheduling/jobs.py
@@ -146,7 +146,6 @@
         """A group is done; its other members' room is still held."""
         if group.phase == work.DONE:
             return
-        self._note_run(group, now)
         group.phase = work.DONE
         job = group.job
         occurrence = job.open[group.occurrence]
@@ -154,21 +153,12 @@
         self._book.dirty[job.name] = None
         self._book.ready.discard(group)
         if not occurrence.left[group.step]:
-            self._book.speeds.end_step(group.step_id)
             self._make_ready(job, occurrence, now)
         if occurrence.done:
             job.finished.add(group.occurrence)
             if len(job.finished) == job.spec.occurrences and not job.ended:
                 self.end(job, model.COMPLETED, "all tasks done", wall_ms)
 
-    def _note_run(self, group: work.Group, now: float) -> None:
-        """Learn from a whole run of one task that this owner placed."""
-        alone = len(group.tasks) == 1
-        if alone and group.placed_at and not group.resumed and not group.slow:
-            host = fleet.side_of(group.holders[0])
-            ran_s = now - group.placed_at
-            self._book.speeds.note_run(group.step_id, host, ran_s)
-
     def vacate(
         self,
         group: work.Group,
@@ -253,7 +243,6 @@
     def _stop_all(self, job: work.Job, reason: str) -> None:
         for group in job.groups():
             self._book.ready.discard(group)
-            self._book.speeds.drop_step(group.step_id)
             if not group.vacant:
                 group.stopping = reason
                 self._book.stop_group(group)
--- a/kingcuplever/process/scheduling/look.py
+++ b/kingcuplever/process/scheduling/look.py
@@ -14,7 +14,6 @@
     """What one pass knows; counted only once it is asked for.
 
     :ivar rooms: free room by worker, less what is being cleared or kept.
-    :ivar slow: workers that urgent work keeps away from where it can.
     """
 
     def __init__(
@@ -27,11 +26,6 @@
         """Begin a pass over the workers that can take work now."""
         self.rooms = rooms
         self.now = now
-        self.slow = frozenset(
-            worker.name
-            for worker in usable
-            if book.speeds.is_slow(worker.side)
-        )
         self._book = book
         self._usable = usable
         self._able: dict[tuple[str, str, str], list[fleet.Worker]] = {}
--- a/kingcuplever/process/scheduling/model.py
+++ b/kingcuplever/process/scheduling/model.py
@@ -97,19 +97,6 @@
         return Need(cpu_milli, self.memory_mb, self.gpus)
 
 
-class HostPace(NamedTuple):
-    """What has been learned of one host.
-
-    :ivar tasks: how many of its tasks were compared.
-    :ivar lag: sum of the logarithms of how much longer each took than its
-        siblings.
-    """
-
-    host: str
-    tasks: int
-    lag: float
-
-
 class JobSpec(NamedTuple):
     """A job as it was handed in.
 
--- a/kingcuplever/process/scheduling/placement.py
+++ b/kingcuplever/process/scheduling/placement.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
-from collections.abc import Set
 import types
 from typing import Final
 from typing import NamedTuple
@@ -31,15 +30,6 @@
     slow: bool
 
 
-class _Pool(NamedTuple):
-    """What :func:`choose` is told of the workers, by name."""
-
-    rooms: Rooms
-    taken: Callable[[str], int]
-    strangers: Mapping[str, int]
-    avoided: Set[str]
-
-
 def may_run(
     worker: fleet.Worker, group: work.Group, pool: str, now: float
 ) -> bool:
@@ -77,7 +67,6 @@
     taken: Callable[[str], int],
     allow_slow: bool,
     strangers: Mapping[str, int] = _NOBODY,
-    avoided: Set[str] = frozenset(),
 ) -> Places | None:
     """Choose places for all tasks of a group.
 
@@ -87,22 +76,20 @@
     :param allow_slow: also give places where the work is slow.
     :param strangers: accelerators promised to others, by worker; work that
         keeps away from them need not be stopped for them.
-    :param avoided: workers that are used only where no others will do.
     """
     spec = group.spec
-    pool = _Pool(rooms, taken, strangers, avoided)
     if spec.gang and spec.same_rack:
-        found = _choose_in_one_rack(group, workers, pool)
+        found = _choose_in_one_rack(group, workers, rooms, taken, strangers)
         if found is not None and (allow_slow or not found.slow):
             return found
         if not allow_slow:
             return None
-        return _choose_anywhere(group, workers, pool, True)
+        return _choose_anywhere(group, workers, rooms, taken, True, strangers)
     near = [w for w in workers if _is_near(spec, w)]
-    found = _choose_anywhere(group, near, pool, False)
+    found = _choose_anywhere(group, near, rooms, taken, False, strangers)
     if found is not None or not allow_slow:
         return found
-    return _choose_anywhere(group, workers, pool, True)
+    return _choose_anywhere(group, workers, rooms, taken, True, strangers)
 
 
 def _is_near(spec: model.StepSpec, worker: fleet.Worker) -> bool:
@@ -110,48 +97,48 @@
 
 
 def _choose_in_one_rack(
-    group: work.Group, workers: list[fleet.Worker], pool: _Pool
+    group: work.Group,
+    workers: list[fleet.Worker],
+    rooms: Rooms,
+    taken: Callable[[str], int],
+    strangers: Mapping[str, int],
 ) -> Places | None:
-    """Choose the rack that is right, and has fewest workers to avoid."""
     best: Places | None = None
-    best_rank = (True, len(workers) + 1)
     for rack in sorted({worker.rack for worker in workers}):
         members = [worker for worker in workers if worker.rack == rack]
         wanted = group.spec.data_rack
         slow = bool(wanted) and rack != wanted
-        if (slow, 0) >= best_rank:
-            continue
-        found = _choose_anywhere(group, members, pool, slow)
-        if found is None:
+        if best is not None and slow >= best.slow:
             continue
-        rank = (slow, len(pool.avoided & {*found.workers}))
-        if rank < best_rank:
-            best, best_rank = found, rank
+        found = _choose_anywhere(group, members, rooms, taken, slow, strangers)
+        if found is not None:
+            best = found
     return best
 
 
 def _choose_anywhere(
     group: work.Group,
     workers: Iterable[fleet.Worker],
-    pool: _Pool,
+    rooms: Rooms,
+    taken: Callable[[str], int],
     slow: bool,
+    strangers: Mapping[str, int],
 ) -> Places | None:
     """Fill workers one after another, the tightest fit first."""
     spec = group.spec
     need = spec.need
     left = {
-        worker.name: pool.rooms[worker.name]
+        worker.name: rooms[worker.name]
         for worker in workers
-        if need.fits(pool.rooms[worker.name])
+        if need.fits(rooms[worker.name])
     }
-    counts = {name: pool.taken(name) for name in left} if spec.gang else {}
+    counts = {name: taken(name) for name in left} if spec.gang else {}
     chosen: list[str] = []
     order = sorted(
         left,
         key=lambda name: (
             name in group.avoid,
-            name in pool.avoided,
-            _stands_in(pool.strangers, name, left[name], need),
+            _stands_in(strangers, name, left[name], need),
             left[name].gpus - need.gpus,
             left[name].cpu_milli,
             name,
@@ -159,7 +146,7 @@
     )
     for name in order:
         limit = spec.most_per_worker or len(group.tasks)
-        used = counts.get(name, 0) if spec.gang else pool.taken(name)
+        used = counts.get(name, 0) if spec.gang else taken(name)
         while len(chosen) < len(group.tasks) and need.fits(left[name]):
             if spec.most_per_worker and used >= limit:
                 break
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -143,7 +143,7 @@
         """
         if group in self._claims:
             return
-        urgent = self._is_urgent(group)
+        urgent = self._book.queue_of(group.job).priority == 0
         waited_s = look.now - group.ready_at
         if not urgent and waited_s <= self._book.policy.patience_s:
             self._wait(group, "no room for all its tasks")
@@ -208,7 +208,6 @@
             lambda name: self._count_on(group, name),
             allow_slow,
             self._book.accounts.strangers_cells(group.job.spec),
-            look.slow if self._is_urgent(group) else frozenset(),
         )
         if places is None:
             self._claims.hold(group, rooms)
@@ -235,9 +234,6 @@
         plan = reserve.choose(self._book, group, able, look.rooms, look.now)
         return plan is None or plan.slow
 
-    def _is_urgent(self, group: work.Group) -> bool:
-        return self._book.queue_of(group.job).priority == 0
-
     def _count_on(self, group: work.Group, name: str) -> int:
         """Count the tasks of a group's step on one worker."""
         if not group.spec.most_per_worker:
@@ -253,7 +249,7 @@
         self, group: work.Group, places: placement.Places, now: float
     ) -> None:
         self._book.ready.discard(group)
-        group.begin_run(places.workers, places.slow, now)
+        group.begin_run(places.workers)
         group.tickets = {
             name: self._book.advice.ticket(group.step_name, name, now)
             for name in set(places.workers)
--- a/kingcuplever/process/scheduling/reserve.py
+++ b/kingcuplever/process/scheduling/reserve.py
@@ -51,12 +51,10 @@
         less than the worker's own.
     :return: none if the workers never suffice.
     """
-    run_s = group.spec.estimate_ms / 1000
     offers: list[_Offer] = []
     for worker in able:
-        late_s = (book.speeds.delay(worker.side) - 1.0) * run_s
         for wait_s in _waits(book, group, worker, rooms, now):
-            offers.append(_Offer(wait_s + late_s, worker.name, worker.rack))
+            offers.append(_Offer(wait_s, worker.name, worker.rack))
     offers.sort()
     spec = group.spec
     plans: list[Plan] = []
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -25,7 +25,6 @@
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import job_board
 from kingcuplever.process.stored import job_records
-from kingcuplever.process.stored import speed_records
 
 # Timeouts are looked for so often.
 _SCAN_S: Final = 0.25
@@ -136,7 +135,6 @@
         for name, job in stored:
             self._jobs.load_job(name, job, now, wall_ms)
         self.maintenance.load(board.rounds)
-        self._book.speeds.load(board.paces.values())
 
     def set_policy(self, policy: model.Policy) -> None:
         """Use a new version of the configuration."""
@@ -197,8 +195,6 @@
                     group.note_recorded()
         for name in self._book.dropped:
             records.extend(job_records.forgotten(name))
-        for pace in self._book.speeds.take_changed():
-            records.append(speed_records.pace(pace))
         self._book.dirty.clear()
         self._book.dropped.clear()
         self._book.after = books.AfterCommit()
--- a/kingcuplever/process/scheduling/work.py
+++ b/kingcuplever/process/scheduling/work.py
@@ -4,8 +4,6 @@
 step.  Its run counts its starts; all members of a run carry the same number.
 """
 
-from typing import NamedTuple
-
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import job_records
 
@@ -22,14 +20,6 @@
 _CHECKPOINT_S = 0.5
 
 
-class StepId(NamedTuple):
-    """Names one step of one occurrence of a job."""
-
-    job: str
-    occurrence: int
-    step: int
-
-
 class Group:
     """Tasks that are placed together.
 
@@ -42,10 +32,6 @@
         grew; 0 until it is listed.
     :ivar begun_at: steady time when the run began, as far as its first list
         tells; 0 until then, for another owner's runs as well.
-    :ivar placed_at: steady time when this owner placed the run; 0 for
-        another owner's runs.
-    :ivar resumed: whether the run began at a checkpoint.
-    :ivar slow: whether the run is away from its data.
     :ivar ready_at: steady time since when it waits for a place.
     :ivar not_before: steady time before which it is not placed again.
     :ivar avoid: workers on which it failed.
@@ -72,9 +58,6 @@
         "percents",
         "moved_ms",
         "begun_at",
-        "placed_at",
-        "resumed",
-        "slow",
         "ready_at",
         "not_before",
         "avoid",
@@ -107,9 +90,6 @@
         self.percents = [0] * count
         self.moved_ms = [0] * count
         self.begun_at = 0.0
-        self.placed_at = 0.0
-        self.resumed = False
-        self.slow = False
         self.ready_at = 0.0
         self.not_before = 0.0
         self.avoid: set[str] = set()
@@ -138,11 +118,6 @@
         """The name of its step, with the job's and the occurrence's."""
         return f"{self.job.name}.{self.occurrence}.{self.step}"
 
-    @property
-    def step_id(self) -> StepId:
-        """Its step, for tables."""
-        return StepId(self.job.name, self.occurrence, self.step)
-
     @property
     def gpus(self) -> int:
         """Accelerators of all its tasks."""
@@ -250,20 +225,12 @@
         moved_ms = self.moved_ms[index]
         return moved_ms > 0 and clock_ms - moved_ms > patience_ms
 
-    def begin_run(
-        self, holders: tuple[str, ...], slow: bool, now: float
-    ) -> None:
-        """Begin another run on some workers.
-
-        :param slow: it is away from its data.
-        """
+    def begin_run(self, holders: tuple[str, ...]) -> None:
+        """Begin another run on some workers."""
         self.run += 1
         self.phase = ASSIGNED
         self.holders = list(holders)
         self._clear()
-        self.placed_at = now
-        self.resumed = bool(self.saved)
-        self.slow = slow
 
     def end_run(self, not_before: float, now: float) -> None:
         """Wait for a place again."""
@@ -279,7 +246,6 @@
         self.failed = False
         self.stopping = ""
         self.begun_at = 0.0
-        self.placed_at = 0.0
         self.percents = [0] * len(self.tasks)
         self.moved_ms = [0] * len(self.tasks)
         self.kept_percent = 0
--- a/kingcuplever/process/stored/job_board.py
+++ b/kingcuplever/process/stored/job_board.py
@@ -57,7 +57,6 @@
     :ivar owner_heard: counts the records that only an owner writes.
     :ivar intents: what operators stated.
     :ivar rounds: how far rounds of maintenance are, by number.
-    :ivar paces: how fast hosts are, by name.
     """
 
     def __init__(self) -> None:
@@ -67,7 +66,6 @@
         self.owner_heard = 0
         self.intents = intent_board.IntentBoard()
         self.rounds: dict[int, rounds.RoundProgress] = {}
-        self.paces: dict[str, model.HostPace] = {}
         self.listener: Listener | None = None
         self._offsets: dict[str, int] = {}
 
@@ -114,9 +112,6 @@
         if isinstance(record, rounds.RoundProgress):
             self.rounds[record.number] = record
             return
-        if isinstance(record, model.HostPace):
-            self.paces[record.host] = record
-            return
         if isinstance(
             record,
             intents.Plan | intents.AccountSpec | intent_records.Config,
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -18,7 +18,6 @@
 from kingcuplever.process.scheduling import rounds
 from kingcuplever.process.stored import intent_records
 from kingcuplever.process.stored import maintenance_records
-from kingcuplever.process.stored import speed_records
 
 TOPIC: Final = "jobs"
 OWNER_KEY: Final = "owner"
@@ -107,7 +106,6 @@
     | Owner
     | Dropped
     | rounds.RoundProgress
-    | model.HostPace
     | intent_records.Record
 )
 
@@ -192,8 +190,6 @@
         return Owner(*_checked(document, (int, str, str, int, str)))
     if maintenance_records.is_ours(key):
         return maintenance_records.read(key, document)
-    if speed_records.is_ours(key):
-        return speed_records.read(key, document)
     if intent_records.is_ours(key):
         return intent_records.read(key, document)
     fault = plain.Fault("key", repr(key), "a key of the product")
