No more than half of a pool is left idle for waiting urgent work

Found by reading the change before: a gang that needs most of a pool, behind work that runs for long, kept all free workers, and jobs behind it had nothing running beside them for as long as that took.

Change: room is kept for urgent work only while no more than half of the accelerators are free.

--- a/kingcuplever/process/scheduling/look.py
+++ b/kingcuplever/process/scheduling/look.py
@@ -34,11 +34,11 @@
         self._usage: accounts.Usage | None = None
 
     @functools.cached_property
-    def is_half_free(self) -> bool:
-        """Whether half of the accelerators are free."""
+    def is_mostly_free(self) -> bool:
+        """Whether over half of the accelerators are free."""
         whole = sum(worker.capacity.gpus for worker in self._usable)
         free = sum(max(0, worker.free.gpus) for worker in self._usable)
-        return free * 2 >= whole
+        return free * 2 > whole
 
     def able(self, group: work.Group, pool: str) -> list[fleet.Worker]:
         """Give the workers that may run a group's tasks, room aside."""
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -139,13 +139,15 @@
         """Keep what comes free for a group that has waited too long.
 
         Urgent work does not wait for that: what is placed behind it would
-        hold the room for longer than it may take.
+        hold the room for longer than it may take.  No more than half of
+        the accelerators are left idle for it.
         """
         if group in self._claims:
             return
         urgent = self._book.queue_of(group.job).priority == 0
         waited_s = look.now - group.ready_at
-        if not urgent and waited_s <= self._book.policy.patience_s:
+        patient = waited_s <= self._book.policy.patience_s
+        if patient and (not urgent or look.is_mostly_free):
             self._wait(group, "no room for all its tasks")
             return
         plan = reserve.choose(self._book, group, able, look.rooms, look.now)
@@ -229,7 +231,7 @@
         """
         if not placement.may_be_slow(group, look.now):
             return False
-        if not placement.is_bound(group.spec) or look.is_half_free:
+        if not placement.is_bound(group.spec) or look.is_mostly_free:
             return True
         plan = reserve.choose(self._book, group, able, look.rooms, look.now)
         return plan is None or plan.slow
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -259,3 +259,23 @@
     running.pass_time(0.5)
     racks = {fake.rack for fake in running.running(urgent).values()}
     assert racks == {running.workers[0].rack}
+
+
+def test_room_for_an_urgent_gang_leaves_no_half_of_the_pool_idle() -> None:
+    """A gang that needs most of a pool waits for work that runs for long.
+
+    Room is kept for it, but not while half of the pool is free: what can
+    wait would have nothing running beside idle workers.
+    """
+    running = pool.Pool(5)
+    old, urgent, batch = "o" * 16, "a" * 16, "b" * 16
+    whole = pool.step(2, gpus=8, cpu_milli=100_000, estimate_ms=60_000)
+    running.submit(old, pool.spec(whole, queue="batch"))
+    running.pass_time(10.0)
+    gang = pool.step(4, gpus=8, gang=True)
+    running.submit(urgent, pool.spec(gang, queue="urgent"))
+    running.settle()
+    assert not running.running(urgent)
+    running.submit(batch, pool.spec(whole, queue="batch"))
+    running.settle()
+    assert len(running.running(batch)) >= 1
