An entry in doubt about the owner reads the log five times a second at most

Its owner's entry may be out of reach for long while the log is fine; ten reads a second from each of many entries would be a tenth of what the store serves.

--- a/kingcuplever/process/owner/job_owner.py
+++ b/kingcuplever/process/owner/job_owner.py
@@ -48,6 +48,8 @@
 # How long one look at the log may take while the owner's entry says nothing
 # good; the running poll would tell of the same only at its end.
 _CHECK_S: Final = 0.4
+# Pause between such looks; an owner's entry may be out of reach for long.
+_CHECK_PERIOD_S: Final = 0.2
 
 
 class JobOwner:
@@ -201,6 +203,7 @@
         :return: what was heard of the owner before.
         """
         watch = owner_watch.OwnerWatch(self._strength, random.random())
+        check_at = 0.0
         while True:
             await trio.sleep(_RETRY_S)
             owner = self._board.owner
@@ -215,8 +218,10 @@
             may_claim = watch.may_claim(reading, told, now)
             if may_claim and self._policy.version and not self._resigned:
                 return watch
-            if told.word is not owner_watch.Word.OWNS and not reading.vacant:
+            is_doubted = told.word is not owner_watch.Word.OWNS
+            if is_doubted and not reading.vacant and now >= check_at:
                 await self._check_log()
+                check_at = trio.current_time() + _CHECK_PERIOD_S
 
     async def _check_log(self) -> None:
         """Read the log now, beside the running poll."""
