A former owner keeps its links to the other entries

Change: the link to a former owner's entry stays open for a minute, unused by its opener. An entry links to a new owner as soon as it has read of it, and no longer a quarter of a second later, so that a host which the store turns away just then is helped (tests/test_platform_processes.py showed that window).

--- a/kingcuplever/process/owner/owner_probe.py
+++ b/kingcuplever/process/owner/owner_probe.py
@@ -23,6 +23,9 @@
 _ANSWER_S: Final = 0.4
 # Pause before a link that has ended is dialled again.
 _RETRY_S: Final = 0.1
+# How long a link to a former owner's entry stays open for its sake; over the
+# time that one host is cut from the log.
+_KEEP_S: Final = 60.0
 # How often an owner is asked, if it does not say.
 _PERIOD_S: Final = 0.25
 # Probes that an owner answers in a second, whatever the number of askers;
@@ -66,40 +69,62 @@
 
     async def run(self) -> None:
         """Ask until cancelled."""
-        while True:
-            owner = self._board.owner
-            if owner is None or owner.entry == self._name:
-                await trio.sleep(_PERIOD_S)
-                continue
-            await self._follow(owner)
-            await trio.sleep(_RETRY_S)
-
-    async def _follow(self, owner: job_records.Owner) -> None:
-        """Ask one owner until the link ends or another owns."""
-        host, port = options.split_address(owner.address)
-        try:
-            with trio.fail_after(_ANSWER_S):
-                stream = await trio.open_tcp_stream(host, port)
-        except trio.TooSlowError:
-            return
-        except OSError as error:
-            if _is_refused(error):
-                gone = owner_watch.Told(owner_watch.Word.GONE)
-                self._hear(owner.epoch, gone)
-            return
+        async with trio.open_nursery() as nursery:
+            while True:
+                changed = self._board.owner_changed
+                owner = self._board.owner
+                if owner is None or owner.entry == self._name:
+                    await changed.wait()
+                    continue
+                asked = trio.Event()
+                nursery.start_soon(self._follow, owner, asked)
+                await asked.wait()
+                await trio.sleep(_RETRY_S)
+
+    async def _follow(
+        self, owner: job_records.Owner, asked: trio.Event
+    ) -> None:
+        """Ask one owner, then leave it the link for a while.
+
+        :param asked: set once the link has ended, or another owns.
+        """
         try:
+            stream = await self._dial(owner)
+            if stream is None:
+                return
             async with peers.linked(stream, self._serve) as peer:
                 self._links.reached_owner(peer)
                 try:
                     await self._ask(peer, owner.epoch)
                 finally:
                     self._links.lost(peer)
+                    asked.set()
+                # A former owner that is cut from the log knows no others.
+                await trio.sleep(_KEEP_S)
         except* errors.KingcupleverError as group:
             text = f"No word of {owner.entry}: {group.exceptions[0]}"
             logs.info(logs.Part.OWNER, text)
+        finally:
+            asked.set()
+
+    async def _dial(
+        self, owner: job_records.Owner
+    ) -> trio.SocketStream | None:
+        host, port = options.split_address(owner.address)
+        try:
+            with trio.fail_after(_ANSWER_S):
+                return await trio.open_tcp_stream(host, port)
+        except trio.TooSlowError:
+            return None
+        except OSError as error:
+            if _is_refused(error):
+                gone = owner_watch.Told(owner_watch.Word.GONE)
+                self._hear(owner.epoch, gone)
+            return None
 
     async def _ask(self, peer: peers.Peer, epoch: int) -> None:
         while True:
+            changed = self._board.owner_changed
             present = self._board.owner
             if present is None or present.epoch != epoch:
                 return
@@ -109,7 +134,8 @@
                 raise errors.InvalidRequest("An owner's entry says no status.")
             self._period_s = status.next_ms / 1000
             self._hear(epoch, _read_status(status, trio.current_time()))
-            await trio.sleep(self._period_s)
+            with trio.move_on_after(self._period_s):
+                await changed.wait()
 
     def _hear(self, epoch: int, told: owner_watch.Told) -> None:
         if (epoch, told.word) != (self._epoch, self._told.word):
--- a/kingcuplever/process/stored/job_board.py
+++ b/kingcuplever/process/stored/job_board.py
@@ -3,6 +3,8 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+import trio
+
 from kingcuplever.connection import keyed_log
 from kingcuplever import intents
 from kingcuplever import logs
@@ -54,6 +56,7 @@
 
     :ivar jobs: by name.
     :ivar owner: who schedules, as far as the log says.
+    :ivar owner_changed: set, and replaced, whenever another epoch is owned.
     :ivar owner_heard: counts the records that only an owner writes.
     :ivar intents: what operators stated.
     :ivar rounds: how far rounds of maintenance are, by number.
@@ -63,6 +66,7 @@
         """Start empty."""
         self.jobs: dict[str, StoredJob] = {}
         self.owner: job_records.Owner | None = None
+        self.owner_changed = trio.Event()
         self.owner_heard = 0
         self.intents = intent_board.IntentBoard()
         self.rounds: dict[int, rounds.RoundProgress] = {}
@@ -103,8 +107,7 @@
     def _apply(self, record: job_records.Record, offset: int) -> None:
         if isinstance(record, job_records.Owner):
             self.owner_heard += 1
-            if self.owner is None or record.epoch >= self.owner.epoch:
-                self.owner = record
+            self._use_owner(record)
             return
         if isinstance(record, job_records.Dropped):
             self._forget(record.key)
@@ -133,6 +136,15 @@
             self.owner_heard += 1
             job.progress = record
 
+    def _use_owner(self, record: job_records.Owner) -> None:
+        present = self.owner
+        if present is not None and record.epoch < present.epoch:
+            return
+        self.owner = record
+        if present is None or record.epoch > present.epoch:
+            self.owner_changed.set()
+            self.owner_changed = trio.Event()
+
     def _tell(self, name: str, job: StoredJob) -> None:
         if self.listener is not None:
             self.listener.job_changed(name, job)
--- a/tests/test_owner_probe.py
+++ b/tests/test_owner_probe.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+from kingcuplever.connection import keyed_log
 from kingcuplever.connection import peer as peers
 from kingcuplever import messages
 from kingcuplever.process import entry_links
@@ -22,6 +23,8 @@
     """An owner's entry that answers probes on a port of its own.
 
     :ivar status: what it answers; nothing while it is absent.
+    :ivar links: its links to others.
+    :ivar board: what the other entry has read of the log.
     :ivar probe: another entry's probe of it.
     """
 
@@ -29,11 +32,12 @@
         """Own the epoch, and be known to another entry."""
         _, port = listener.socket.getsockname()
         self.status: messages.OwnerStatus | None = status()
-        board = job_board.JobBoard()
+        self.links = entry_links.EntryLinks()
+        self.board = job_board.JobBoard()
         address = f"127.0.0.1:{port}"
-        board.owner = job_records.Owner(_EPOCH, "one", address, 0)
+        self.board.owner = job_records.Owner(_EPOCH, "one", address, 0)
         self.probe = owner_probe.OwnerProbe(
-            "two", board, entry_links.EntryLinks()
+            "two", self.board, entry_links.EntryLinks(), _tell
         )
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -49,12 +53,20 @@
         self, peer: peers.Peer, message: messages.Message
     ) -> messages.Message:
         assert message == messages.OwnerProbe(_EPOCH)
+        self.links.asked_by(peer)
         if self.status is None:
             await trio.sleep_forever()
         assert self.status is not None
         return self.status
 
 
+async def _tell(
+    peer: peers.Peer, message: messages.Message
+) -> messages.Message:
+    """Tell of a job, as the other entry."""
+    return messages.JobAnswer(True, "completed", "", 0)
+
+
 def status(
     owns: bool = True, failing_ms: int = 0, tries: int = 0
 ) -> messages.OwnerStatus:
@@ -133,6 +145,25 @@
     play(story)
 
 
+def test_former_owner_keeps_its_links_to_the_others() -> None:
+    """SHORT on phulrenu-kl: cut from the log, it had nobody to ask.
+
+    The others closed their links as soon as one of them owned.
+    """
+
+    async def story(entry: OwnerEntry, process: trio.Nursery) -> None:
+        record = job_records.owner(job_records.Owner(_EPOCH + 1, "two", "", 0))
+        stored = keyed_log.StoredRecord(9, record.key, record.value)
+        entry.board.take([stored])
+        await entry.expect(owner_watch.Word.SILENT)
+        await trio.sleep(0.5)
+        (asker,) = entry.links.in_order()
+        reply = await asker.call(messages.JobQuestion("a" * 16), 1.0)
+        assert isinstance(reply, messages.JobAnswer)
+
+    play(story)
+
+
 def test_owner_with_many_askers_is_asked_less_often() -> None:
     """The probes of a whole region's entries stay a small load."""
     links = entry_links.EntryLinks()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -21,6 +21,13 @@
         yield running
 
 
+@pytest.fixture
+def proxied_site(tmp_path: Any) -> Iterator[wire_site.Site]:
+    """Give the same, with each process's way to the store in our hands."""
+    with wire_site.Site(str(tmp_path), proxied=True) as running:
+        yield running
+
+
 def other_than(site: wire_site.Site, entry: str) -> str:
     """Give another entry."""
     return next(name for name in site.entries if name != entry)
@@ -141,6 +148,40 @@
     assert len(site.begun(JOB)) == 1
 
 
+def test_entry_that_is_cut_from_the_log_shows_jobs_that_are_over(
+    proxied_site: wire_site.Site,
+) -> None:
+    """SHORT on phulrenu-kl: the entry of a place showed old states."""
+    site = proxied_site
+    owner = site.owner()
+    entry = other_than(site, owner)
+    assert site.call(entry, "POST", JOB, wire_site.job(2.0)).status == 200
+    site.wait_for(entry, JOB, "running")
+    site.disturb(entry, refuse=True, cut=True)
+    site.wait_for(owner, JOB, "completed")
+    site.wait_for(entry, JOB, "completed")
+    assert site.call(entry, "GET", OTHER).status == 410
+
+
+def test_former_owner_that_is_cut_from_the_log_is_helped_by_others(
+    proxied_site: wire_site.Site,
+) -> None:
+    """SHORT on phulrenu-kl: it refused its callers for seven seconds."""
+    site = proxied_site
+    former = site.owner()
+    site.disturb(former, refuse=True, cut=True)
+    fleet.wait_until(lambda: site.owner() != former, "another owns")
+
+    def is_taken() -> bool:
+        body = wire_site.job(0.3)
+        return site.call(former, "POST", JOB, body).status == 200
+
+    fleet.wait_until(is_taken, "the job is taken")
+    site.wait_for(site.owner(), JOB, "completed")
+    site.wait_for(former, JOB, "completed")
+    assert len(site.begun(JOB)) == 1
+
+
 def test_entry_without_the_log_leaves_the_rotation_and_comes_back(
     site: wire_site.Site,
 ) -> None:
