--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -158,11 +158,24 @@
     return fleets.call(address, "POST", path, body, pairs)
 
 
-def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
-    """Let the listed known faults fail without failing the run."""
+def known_red() -> list[str]:
+    """Give the lines that list faults which are known and not mended."""
     listed = pathlib.Path("KNOWN-RED.txt")
     text = listed.read_text(encoding="utf-8") if listed.exists() else ""
-    names = {line.split(" | ")[0] for line in text.splitlines()}
+    return text.splitlines()
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Let the listed known faults fail without failing the run."""
+    names = {line.split(" | ")[0] for line in known_red()}
     for item in items:
         if item.nodeid in names:
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt"))
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter,
+) -> None:
+    """Print the listed known faults; some show on the users' bench only."""
+    for line in known_red():
+        terminalreporter.write_line(f"known red: {line}")
