--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -3,6 +3,15 @@
 from tests import pool
 
 
+def finish_urgent_jobs(running: pool.Pool) -> None:
+    """Run two urgent jobs of three tasks, so that more are expected."""
+    for name in "12":
+        running.submit(name * 16, pool.spec(pool.step(3), queue="urgent"))
+        running.settle()
+        running.end(name * 16, "done")
+        running.settle()
+
+
 def test_room_is_kept_while_urgent_work_keeps_coming() -> None:
     """A full pool of batch work, an urgent job every few seconds.
 
@@ -171,11 +180,7 @@
     turn, so that none of them was whole for half a minute.
     """
     running = pool.Pool(3)
-    for name in "12":
-        running.submit(name * 16, pool.spec(pool.step(3), queue="urgent"))
-        running.settle()
-        running.end(name * 16, "done")
-        running.settle()
+    finish_urgent_jobs(running)
     batch = "b" * 16
     whole = pool.step(2, gpus=8, estimate_ms=60_000)
     running.submit(batch, pool.spec(whole, queue="batch"))
@@ -189,11 +194,7 @@
     for name, gpus in (("x", 8), ("y", 5)):
         step = pool.step(1, gpus=gpus, estimate_ms=60_000)
         running.submit(name * 16, pool.spec(step, queue="batch"))
-    for name in "12":
-        running.submit(name * 16, pool.spec(pool.step(3), queue="urgent"))
-        running.settle()
-        running.end(name * 16, "done")
-        running.settle()
+    finish_urgent_jobs(running)
     batch = "b" * 16
     whole = pool.step(1, gpus=8, estimate_ms=60_000)
     running.submit(batch, pool.spec(whole, queue="batch"))
