Decoders: any value from outside is read or refused with a typed error

What callers saw: a caller's job with 1e999 or NaN in a number got a 500; an operator's record with one ended every entry that read it (OverflowError), and the next start read it again. A worker's list with a wrong type, or a capacity over 2^31, ended its side when the report was encoded; a store's answer without Offset ended the appender. Cause: each decoder listed by hand what its conversions may raise, and each list lacked OverflowError, LookupError or RecursionError; numbers and strings were not checked against what the messages between processes carry. A job's numbers had no bounds: EstRuntimeMs of 10^400 is accepted, recorded, and ends each owner in turn (int too large to convert to float); Spec with a lone surrogate can't be sent to a side. Ruled out: catching Exception in the readers, which would hide our own faults. Change: one tuple, plain.CONVERSION_ERRORS, at every decoder; a registration is refused if any field of it is faulty, also those that nothing reads; job numbers from 0 to 10^15, 10,000 occurrences and 2,000 tasks at most, since a job's progress is one record on the log.

--- a/kingcuplever/connection/http_client.py
+++ b/kingcuplever/connection/http_client.py
@@ -106,7 +106,7 @@
             )
         try:
             return json.loads(response.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise errors.PlatformFailed(
                 f"{self._base}{path} sent a response that is not JSON."
             ) from error
--- a/kingcuplever/plain.py
+++ b/kingcuplever/plain.py
@@ -10,11 +10,23 @@
 import types
 import typing
 from typing import Any
+from typing import Final
 from typing import NamedTuple
 from typing import TypeVar
 
 T = TypeVar("T")
 
+# What parsing and converting a value from outside may raise: a number can be
+# infinite, a list too short or too deep, a string no valid Unicode.
+CONVERSION_ERRORS: Final = (
+    ValueError,
+    TypeError,
+    LookupError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+
 
 class Fault(NamedTuple):
     """One thing wrong with a value from outside.
--- a/kingcuplever/platform/adviser.py
+++ b/kingcuplever/platform/adviser.py
@@ -5,6 +5,7 @@
 
 from kingcuplever.connection import http_client
 from kingcuplever import errors
+from kingcuplever import plain
 from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import fleet
 
@@ -48,7 +49,7 @@
                 if incarnation in workers
             }
             return advice.AdviceReply(tickets, int(document["ValidMs"]) / 1000)
-        except (ValueError, KeyError, TypeError) as error:
+        except plain.CONVERSION_ERRORS as error:
             raise errors.PlatformFailed(
                 f"The adviser's response can't be decoded ({error!r})."
             ) from error
--- a/kingcuplever/platform/executor.py
+++ b/kingcuplever/platform/executor.py
@@ -6,13 +6,20 @@
 
 from kingcuplever.connection import http_client
 from kingcuplever import errors
+from kingcuplever import options
+from kingcuplever import plain
 from kingcuplever.process.agent import executor as executors
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 
+# The states of a registration, and whether the worker drains in each.
+_DRAINING_BY_STATE: Final = {"ready": False, "draining": True}
 _EXPECT_INSTANCE_HEADER: Final = "X-Kingcuplever-Expect-Instance"
 # Both ends are on one host, so a response that takes longer is lost.
 _CALL_TIMEOUT_S: Final = 0.7
+# Largest values that the messages between processes carry.
+_MAX_COUNT: Final = 2**31 - 1
+_MAX_CLOCK_MS: Final = 2**62
 
 
 class Executor:
@@ -144,46 +151,69 @@
     :raises errors.InvalidRequest: if a field is missing or mistyped, or
         the state is unknown.
     """
-    if not isinstance(document, dict):
-        raise errors.InvalidRequest("A registration must be a JSON object.")
-    state = _get_field(document, "State", str)
-    if state not in ("ready", "draining"):
-        raise errors.InvalidRequest(
-            f"State is {state!r}; send ready or draining."
+    try:
+        _check_text(incarnation)
+        state = _check_text(document["State"])
+        if state not in _DRAINING_BY_STATE:
+            raise ValueError(f"State is {state!r:.40}")
+        _check_unused_fields(document)
+        capacity = document["Capacity"]
+        labels = document["Labels"]
+        if not isinstance(labels, list):
+            raise TypeError(f"Labels are {labels!r:.40}")
+        return executors.Registration(
+            incarnation=incarnation,
+            sequence=_check_count(document["Seq"], _MAX_CLOCK_MS),
+            pool=_check_text(document["Service"]),
+            data_centre=_check_text(document["Zone"]),
+            capacity=model.Resources(
+                _check_count(capacity["Cpu"]),
+                _check_count(capacity["MemMb"]),
+                _check_count(capacity.get("Gpu", 0)),
+            ),
+            labels=tuple(_check_text(label) for label in labels),
+            draining=_DRAINING_BY_STATE[state],
+            remaining_ms=_check_count(document.get("RemainingMs", 0)),
+            received_at=now,
         )
-    capacity = _get_field(document, "Capacity", dict)
-    labels = _get_field(document, "Labels", list)
-    if not all(isinstance(label, str) for label in labels):
-        raise errors.InvalidRequest("Labels must be strings.")
-    resources = model.Resources(
-        _get_field(capacity, "Cpu", int),
-        _get_field(capacity, "MemMb", int),
-        _get_field(capacity, "Gpu", int, 0),
-    )
-    return executors.Registration(
-        incarnation=incarnation,
-        sequence=_get_field(document, "Seq", int),
-        pool=_get_field(document, "Service", str),
-        data_centre=_get_field(document, "Zone", str),
-        capacity=resources,
-        labels=tuple(labels),
-        draining=state == "draining",
-        remaining_ms=_get_field(document, "RemainingMs", int, 0),
-        received_at=now,
-    )
-
-
-def _get_field(
-    document: dict[str, Any],
-    name: str,
-    expected: type,
-    default: Any = None,
-) -> Any:
-    value = document.get(name, default)
-    if not isinstance(value, expected) or isinstance(value, bool):
+    except plain.CONVERSION_ERRORS as error:
         raise errors.InvalidRequest(
-            f"{name} is {value!r:.40}; send a {expected.__name__}."
-        )
+            f"The registration can't be decoded ({error!r}); correct it."
+        ) from error
+
+
+def _check_unused_fields(document: dict[str, Any]) -> None:
+    """Check the fields that nothing is read from, as far as they are there.
+
+    A registration with a wrong one was not written by the worker.
+    """
+    if "Address" in document:
+        options.split_address(_check_text(document["Address"]))
+    _check_text(document.get("Version", ""))
+    _check_count(document.get("Slots", 0))
+    _check_time(document.get("ColdLeftMs", 0))
+    _check_time(document.get("ClockMs", 0))
+
+
+def _check_time(value: Any) -> int:
+    """Return a time in whole milliseconds if it is a number of them."""
+    if type(value) not in (int, float):
+        raise TypeError(f"{value!r:.40} is no time")
+    return _check_count(int(value), _MAX_CLOCK_MS)
+
+
+def _check_count(value: Any, maximum: int = _MAX_COUNT) -> int:
+    """Return a value if it is a whole number from 0 to ``maximum``."""
+    if type(value) is not int or not 0 <= value <= maximum:
+        raise ValueError(f"{value!r:.40} is no number up to {maximum}")
+    return value
+
+
+def _check_text(value: Any) -> str:
+    """Return a value if it is a string that can be sent as UTF-8."""
+    if type(value) is not str:
+        raise TypeError(f"{value!r:.40} is no string")
+    value.encode()
     return value
 
 
@@ -198,7 +228,7 @@
 def _parse_object(response: http_client.ClientResponse) -> dict[str, Any]:
     try:
         document = json.loads(response.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         document = None
     if not isinstance(document, dict):
         raise errors.PlatformFailed(
@@ -211,19 +241,27 @@
     try:
         running = tuple(
             fleet.RunningTask(
-                row[0],
-                row[1],
-                row[2],
-                row[3],
-                int(row[4]) if len(row) > 4 else 0,
+                _check_text(row[0]),
+                _check_count(row[1]),
+                _check_text(row[2]),
+                _check_count(row[3]),
+                _check_count(int(row[4])) if len(row) > 4 else 0,
             )
             for row in document.get("Running") or ()
         )
         ended = tuple(
-            fleet.EndedTask(*row[:5]) for row in document.get("Ended") or ()
+            fleet.EndedTask(
+                _check_count(row[0]),
+                _check_text(row[1]),
+                _check_count(row[2]),
+                _check_text(row[3]),
+                _check_text(row[4]),
+            )
+            for row in document.get("Ended") or ()
         )
-        return executors.TaskList(int(document["ClockMs"]), running, ended)
-    except (KeyError, IndexError, TypeError, ValueError) as error:
+        clock_ms = _check_time(document["ClockMs"])
+        return executors.TaskList(clock_ms, running, ended)
+    except plain.CONVERSION_ERRORS as error:
         raise errors.PlatformFailed(
             f"The executor's task list can't be decoded ({error!r})."
         ) from error
--- a/kingcuplever/platform/hosts.py
+++ b/kingcuplever/platform/hosts.py
@@ -12,6 +12,7 @@
 from kingcuplever.connection import http_client
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
+from kingcuplever import plain
 from kingcuplever.process.scheduling import maintenance_rounds
 from kingcuplever.process.stored import log_producer
 
@@ -40,7 +41,7 @@
             float(document["DurationS"]),
             max(1, int(document["MaxCount"])),
         )
-    except (ValueError, KeyError, TypeError) as error:
+    except plain.CONVERSION_ERRORS as error:
         raise errors.InvalidRequest(
             f"Maintenance order ignored, as it can't be decoded ({error!r})."
         ) from error
@@ -75,7 +76,7 @@
             try:
                 hosts += [_decode_host(row) for row in page["Machines"]]
                 token = page.get("NextToken") or ""
-            except (KeyError, TypeError, AttributeError) as error:
+            except plain.CONVERSION_ERRORS as error:
                 raise errors.PlatformFailed(
                     f"The list of machines can't be decoded ({error!r})."
                 ) from error
--- a/kingcuplever/platform/queues.py
+++ b/kingcuplever/platform/queues.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from kingcuplever import errors
+from kingcuplever import plain
 from kingcuplever.process.scheduling import model
 from kingcuplever.version import job_queues
 
@@ -12,8 +13,10 @@
 CONFIG_KEY: Final = "config"
 
 _DEFAULT_MAX_BODY_BYTES: Final = 262_144
-# Limits the load that one job can put on the scheduler.
-_MAX_TASKS: Final = 10_000
+# Occurrences of one job; its record on the log lists all that are done.
+_MAX_OCCURRENCES: Final = 10_000
+# Largest number in a job: as a time in milliseconds, beyond the year 30000.
+_MAX_NUMBER: Final = 10**15
 
 
 def decode_config(data: bytes) -> job_queues.JobQueues:
@@ -23,7 +26,7 @@
     """
     try:
         return _decode_config(json.loads(data))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except plain.CONVERSION_ERRORS as error:
         raise errors.InvalidRequest(
             f"The configuration can't be decoded ({error!r})."
         ) from error
@@ -97,9 +100,14 @@
     if not isinstance(rows, list) or not rows:
         raise errors.InvalidRequest("Steps is missing or empty; send a list.")
     steps = tuple(_decode_step(row, number) for number, row in enumerate(rows))
-    if sum(step.tasks for step in steps) > _MAX_TASKS:
+    if sum(step.tasks for step in steps) > model.MAX_TASKS:
         raise errors.InvalidRequest(
-            f"The job has over {_MAX_TASKS} tasks; send fewer."
+            f"The job has over {model.MAX_TASKS} tasks; send fewer."
+        )
+    times = _get_value(document, "Times", 0)
+    if times > _MAX_OCCURRENCES:
+        raise errors.InvalidRequest(
+            f"Times is {times}; send {_MAX_OCCURRENCES} at most."
         )
     return model.JobSpec(
         queue=queue.name,
@@ -108,7 +116,7 @@
         payload=_get_value(document, "Spec", ""),
         steps=steps,
         accepted_ms=accepted_ms,
-        times=_get_value(document, "Times", 0),
+        times=times,
         first_ms=_get_value(document, "FirstMs", 0),
         period_ms=_get_value(document, "PeriodMs", 0),
         priority=queue.priority,
@@ -158,15 +166,27 @@
 
     If the default is an integer, a float is truncated to one.
 
-    :raises errors.InvalidRequest: if the field has another type.
+    :raises errors.InvalidRequest: if the field has another type, or is a
+        number out of range or a string that is not valid Unicode.
     """
     value = row.get(name, default)
     if value is None:
         return default
-    if type(default) is int and type(value) is float:
-        return int(value)
+    try:
+        if type(default) is int and type(value) is float:
+            value = int(value)
+        if type(value) is str:
+            value.encode()
+    except plain.CONVERSION_ERRORS as error:
+        raise errors.InvalidRequest(
+            f"{name} is {value!r:.40} ({error!r:.60}); correct it."
+        ) from error
     if type(value) is not type(default):
         raise errors.InvalidRequest(
             f"{name} is {value!r:.40}; send a {type(default).__name__}."
         )
+    if type(value) is int and not 0 <= value <= _MAX_NUMBER:
+        raise errors.InvalidRequest(
+            f"{name} is {value!r:.40}; send 0 to {_MAX_NUMBER}."
+        )
     return value
--- a/kingcuplever/platform/store.py
+++ b/kingcuplever/platform/store.py
@@ -12,6 +12,7 @@
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import logs
+from kingcuplever import plain
 
 # The store keeps the newest record of each key in topics with this prefix.
 _KEYED_PREFIX: Final = "keyed."
@@ -60,12 +61,12 @@
             raise _convert_error(error) from error
         document = _parse_json(response)
         if response.status == 200:
-            return int(document["Offset"]) + len(records)
+            return _get_offset(document, "Offset") + len(records)
         if response.status == 412:
+            end = _get_offset(document, "End")
             raise errors.LogConflict(
-                f"Topic {topic} ends at offset {document.get('End')},"
-                f" not at {expected_end}.",
-                int(document.get("End", -1)),
+                f"Topic {topic} ends at offset {end}, not at {expected_end}.",
+                end,
             )
         if response.status == 409:
             raise errors.LogFenced(
@@ -94,7 +95,7 @@
             "/log-read", query, wait_ms / 1000 + CALL_TIMEOUT_S
         )
         if response.status == 410:
-            first = int(_parse_json(response).get("First", 0))
+            first = _get_offset(_parse_json(response), "First")
             raise errors.LogGone(
                 f"Topic {topic} begins at offset {first}.", first
             )
@@ -116,12 +117,12 @@
                 return keyed_log.ReadBatch(0, 0, ())
             _raise_for_status(response)
             page = _parse_json(response)
-            end = int(page["End"]) if end < 0 else end
-            items = page.get("items") or []
-            records += [_decode_stored(item) for item in items]
-            if not page.get("HasMore") or not items:
+            end = _get_offset(page, "End") if end < 0 else end
+            stored = _decode_page(page)
+            records += stored
+            if not page.get("HasMore") or not stored:
                 return keyed_log.ReadBatch(end, end, tuple(records))
-            query["After"] = items[-1]["Key"]
+            query["After"] = stored[-1].key
 
     async def _get(
         self, path: str, query: dict[str, str], timeout_s: float
@@ -155,7 +156,7 @@
     """
     try:
         document = json.loads(response.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         if response.status == 200:
             raise errors.LogUnavailable(
                 "The log's response is not JSON."
@@ -164,6 +165,19 @@
     return document if isinstance(document, dict) else {}
 
 
+def _get_offset(document: dict[str, Any], name: str) -> int:
+    """Return an offset.
+
+    :raises errors.LogUnavailable: if it is missing or no offset.
+    """
+    value = document.get(name)
+    if type(value) is not int or value < 0:
+        raise errors.LogUnavailable(
+            f"The log's response has {value!r:.40} as {name}."
+        )
+    return value
+
+
 def _encode_record(record: keyed_log.KeyedRecord) -> bytes:
     key = record.key.encode()
     content = bytes([len(key)]) + key + (record.value or b"")
@@ -197,6 +211,22 @@
     return records, offset
 
 
-def _decode_stored(item: dict[str, Any]) -> keyed_log.StoredRecord:
-    value = base64.b64decode(item["Value"])
-    return keyed_log.StoredRecord(int(item["Offset"]), item["Key"], value)
+def _decode_page(page: dict[str, Any]) -> list[keyed_log.StoredRecord]:
+    """Decode one page of a snapshot.
+
+    :raises errors.LogUnavailable: if a row can't be decoded; without it, the
+        snapshot would lack a key.
+    """
+    try:
+        return [
+            keyed_log.StoredRecord(
+                _get_offset(item, "Offset"),
+                str(item["Key"]),
+                base64.b64decode(item["Value"]),
+            )
+            for item in page.get("items") or ()
+        ]
+    except plain.CONVERSION_ERRORS as error:
+        raise errors.LogUnavailable(
+            f"A page of a snapshot can't be decoded ({error!r})."
+        ) from error
--- a/kingcuplever/process/config_holder.py
+++ b/kingcuplever/process/config_holder.py
@@ -48,7 +48,7 @@
         """Apply a version that a side has sent, if it is newer."""
         try:
             self.apply_if_newer(number, json.loads(text))
-        except ValueError as error:
+        except plain.CONVERSION_ERRORS as error:
             logs.warn(
                 logs.Component.CONFIG,
                 f"A side's configuration is invalid: {error}",
--- a/kingcuplever/process/scheduling/model.py
+++ b/kingcuplever/process/scheduling/model.py
@@ -13,6 +13,10 @@
 
 ENDED_STATES: Final = frozenset((COMPLETED, FAILED, CANCELLED))
 
+# Tasks of a job that may be open at a time, in all its occurrences.  Its
+# progress, some 100 bytes a task, is one record on the log.
+MAX_TASKS: Final = 2000
+
 
 class Resources(NamedTuple):
     """A resource vector: a task's request or a worker's capacity.
--- a/kingcuplever/process/stored/evidence_records.py
+++ b/kingcuplever/process/stored/evidence_records.py
@@ -264,7 +264,7 @@
         )
     except plain.ValidationError:
         raise
-    except (ValueError, TypeError, KeyError, RecursionError) as error:
+    except plain.CONVERSION_ERRORS as error:
         fault = plain.Fault("batch", repr(value[:60]), "a batch of evidence")
         raise plain.ValidationError([fault]) from error
 
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -171,7 +171,7 @@
         return _decode_document(key, document)
     except plain.ValidationError:
         raise
-    except (ValueError, TypeError, RecursionError) as error:
+    except plain.CONVERSION_ERRORS as error:
         fault = plain.Fault(
             key, repr(value[:60]), "a record that fits the key"
         )
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -9,14 +9,18 @@
 import pytest
 import trio
 
+from kingcuplever.connection import frames
 from kingcuplever.connection import http_client
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
+from kingcuplever import messages
 from kingcuplever import plain
 from kingcuplever.platform import executor
+from kingcuplever.platform import hosts
 from kingcuplever.platform import queues
 from kingcuplever.platform import settings
 from kingcuplever.platform import store
+from kingcuplever.process.agent import executor as executors
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import job_table
@@ -192,6 +196,7 @@
         self._response = http_client.ClientResponse(status, (), body)
 
     async def call(self, *_: Any, **__: Any) -> http_client.ClientResponse:
+        await trio.lowlevel.checkpoint()
         return self._response
 
 
@@ -290,3 +295,217 @@
     batch = trio.run(main)
     assert batch.next_offset == 6
     assert batch.records == (keyed_log.StoredRecord(5, "k", b"v"),)
+
+
+# Numbers that JSON can carry and that conversions choke on.
+numbers = (
+    st.sampled_from([1e999, -1e999, float("nan"), 10**40, -1, 1e300])
+    | st.integers()
+    | st.floats()
+)
+# Like documents, with any number and with lone surrogates.
+hostile_documents = st.recursive(
+    st.none() | st.booleans() | numbers | st.sampled_from(["", "\ud800"]),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=6), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+# Guards against a process that ends by OverflowError, or another error that
+# a decoder does not expect, when an operator's record has a number like
+# 1e999 or any other damage.
+@hypothesis.given(st.sampled_from(list_paths(CONFIG)), hostile_documents)
+def test_hostile_configuration_is_read_or_refused(
+    path: list[Any], value: Any
+) -> None:
+    data = json.dumps(replace_value(CONFIG, path, value)).encode()
+    try:
+        queues.decode_config(data)
+    except errors.InvalidRequest:
+        return
+
+
+WAVE = {"Wave": 1, "Machines": ["m-1"], "DurationS": 20, "MaxCount": 1}
+
+
+@hypothesis.given(st.sampled_from(list_paths(WAVE)), hostile_documents)
+def test_hostile_maintenance_order_is_read_or_refused(
+    path: list[Any], value: Any
+) -> None:
+    data = json.dumps(replace_value(WAVE, path, value)).encode()
+    try:
+        hosts.decode_wave(data)
+    except errors.InvalidRequest:
+        return
+
+
+# Guards against a caller's job that ends the owner and each one after it:
+# what is accepted can be recorded, read back, compared and sent to a side.
+@hypothesis.given(st.sampled_from(list_paths(JOB)), hostile_documents)
+def test_hostile_job_is_refused_or_harmless(
+    path: list[Any], value: Any
+) -> None:
+    document = json.loads(json.dumps(replace_value(JOB, path, value)))
+    try:
+        spec = queues.decode_job(document, QUEUE, "yard", 5)
+    except errors.InvalidRequest:
+        return
+    record = job_records.encode_submission("5c0e7a21d94b36f8", spec)
+    stored = keyed_log.StoredRecord(0, record.key, record.value)
+    assert job_records.decode_record(stored) == job_records.Submitted(
+        "5c0e7a21d94b36f8", spec
+    )
+    spec.payload.encode()
+    assert all(step.estimate_ms / 1000 >= 0 for step in spec.steps)
+    assert all(step.resources >= model.NO_RESOURCES for step in spec.steps)
+
+
+def test_job_that_its_record_could_not_hold_is_refused() -> None:
+    many = {"Steps": [{"Count": model.MAX_TASKS + 1}]}
+    often = {"Steps": [{"Count": 1}], "Times": 10**6, "PeriodMs": 1}
+    for document in (many, often):
+        with pytest.raises(errors.InvalidRequest):
+            queues.decode_job(document, QUEUE, "yard", 5)
+
+
+TASK_LIST = {
+    "ClockMs": 482113,
+    "Running": [["5c0e7a21d94b36f8.0.1.17", 2, "00b", 41, 7]],
+    "Ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+}
+
+
+def _list_tasks(body: bytes) -> executors.TaskList:
+    async def main() -> executors.TaskList:
+        client: Any = _FakeClient(200, body)
+        return await executor.Executor(client).renew_and_list(
+            "i-1", 1, 0, None, 0
+        )
+
+    return trio.run(main)
+
+
+# Guards against a side that ends when its worker sends a damaged list: what
+# is taken can be sent on to the owner.
+@hypothesis.given(st.sampled_from(list_paths(TASK_LIST)), hostile_documents)
+def test_hostile_task_list_is_refused_or_can_be_sent(
+    path: list[Any], value: Any
+) -> None:
+    body = json.dumps(replace_value(TASK_LIST, path, value)).encode()
+    try:
+        found = _list_tasks(body)
+    except errors.PlatformFailed:
+        return
+    rows = tuple(messages.RunningRow(*row) for row in found.running)
+    ended = tuple(messages.EndedRow(*row) for row in found.ended)
+    report = messages.WorkerReport(
+        *("w", "s", "d", "p", 1, 1, 1, (), False, 0, False),
+        *(rows, ended, (), found.clock_ms),
+    )
+    data = frames.encode(frames.Frame(1, False, report))
+    decoded = frames.decode(data[frames.LENGTH_PREFIX.size :])
+    assert decoded.message == report
+
+
+# Guards against a heartbeat by another writer, faulty in any field, that
+# names an executor; and against one that ends the side.
+@hypothesis.given(st.sampled_from(list_paths(REGISTRATION)), hostile_documents)
+def test_hostile_registration_is_refused_or_can_be_sent(
+    path: list[Any], value: Any
+) -> None:
+    document = json.loads(json.dumps(replace_value(REGISTRATION, path, value)))
+    try:
+        read = executor.decode_registration("i-1", document, 0.0)
+    except errors.InvalidRequest:
+        return
+    report = messages.WorkerReport(
+        *("w", "s", read.data_centre, read.pool, *read.capacity),
+        *(read.labels, read.draining, read.remaining_ms, False),
+        *((), (), (), 0),
+    )
+    frames.encode(frames.Frame(1, False, report))
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("Address", "no address"),
+        ("Version", 3),
+        ("Slots", -1),
+        ("ColdLeftMs", "soon"),
+        ("ClockMs", None),
+        ("Seq", -4),
+        ("Labels", "r1"),
+        ("Capacity", {"Cpu": -5, "MemMb": 1}),
+        ("State", "gone"),
+    ],
+)
+def test_registration_faulty_in_one_field_is_refused(
+    name: str, value: Any
+) -> None:
+    executor.decode_registration("i-1", REGISTRATION, 0.0)
+    with pytest.raises(errors.InvalidRequest):
+        executor.decode_registration("i-1", REGISTRATION | {name: value}, 0.0)
+
+
+PAGE = {
+    "items": [{"Key": "config", "Value": "e30=", "Offset": 4}],
+    "HasMore": False,
+    "End": 6,
+}
+
+
+# Guards against a store's answer that ends the process that reads it.
+@hypothesis.given(st.sampled_from(list_paths(PAGE)), hostile_documents)
+def test_hostile_page_is_read_or_a_failed_read(
+    path: list[Any], value: Any
+) -> None:
+    body = json.dumps(replace_value(PAGE, path, value)).encode()
+
+    async def main() -> None:
+        # A page that claims to have more is served again for ever.
+        with trio.move_on_after(0.05):
+            await _make_store(200, body).read_snapshot("jobs")
+
+    try:
+        trio.run(main)
+    except errors.LogUnavailable:
+        return
+
+
+@pytest.mark.parametrize("status", [200, 412])
+@pytest.mark.parametrize(
+    "body", [b"{}", b"[]", b'{"Offset":1e999,"End":null}', b"[" * 100_000]
+)
+def test_hostile_append_answer_is_a_failed_append(
+    status: int, body: bytes
+) -> None:
+    with pytest.raises(errors.LogUnavailable):
+        _append(status, body)
+
+
+# Guards against a record of the jobs topic, damaged in any value, that ends
+# each entry that reads it.
+@hypothesis.given(
+    st.sampled_from(
+        [
+            ("j:j1", ["running", [], [[0, 0, 0, 1, "a", 0, "", ["w"]]], 0]),
+            ("owner", [3, "e1", "10.1.0.1:7000", 5, ""]),
+        ]
+    ),
+    st.data(),
+)
+def test_damaged_owner_record_is_read_or_refused(
+    stored: tuple[str, Any], data: st.DataObject
+) -> None:
+    key, document = stored
+    path = data.draw(st.sampled_from(list_paths(document)))
+    value = data.draw(hostile_documents)
+    damaged = json.dumps(replace_value(document, path, value)).encode()
+    try:
+        job_records.decode_record(keyed_log.StoredRecord(0, key, damaged))
+    except plain.ValidationError:
+        return
