Peers and listeners: no message, reply or odd error ends a process

What callers saw: nothing yet on the sites; each is a way in which one message ends an entry or a side, and with it all its callers' connections. Cause: a reply with a code of a newer release raised ValueError in the caller; a second reply to one call raised WouldBlock in the reader; an error that is not ours in a request's handler went up through the nursery to the process; a value that did not fit its thrift field raised struct.error; a listener's handler that raised an odd error answered 500 without a log line. Change: PEER_FAILED for unknown codes and failed handlers, one reply a call, encode raises a typed error, both servers log the odd error and go on. A job over 192 KiB on the log is refused with 400 (the store would refuse its append for ever, and all behind it); a job opens 2,000 tasks at most at a time. Evidence: the new tests fail on the code before: ValueError, AssertionError (late_replies 0), the nursery's ExceptionGroup, four of struct.error, TypeError and no error. The stand-in's worker registered with port 0, which is no address.

--- a/kingcuplever/connection/frames.py
+++ b/kingcuplever/connection/frames.py
@@ -48,14 +48,28 @@
 
 
 def encode(frame: Frame) -> bytes:
-    """Return the bytes of a frame, with the length prefix."""
+    """Return the bytes of a frame, with the length prefix.
+
+    :raises errors.InvalidRequest: if a value of the message does not fit its
+        field, or the frame is too long.
+    """
     body = ttypes.Body()
     field = _FIELD_BY_TYPE[type(frame.message)]
     setattr(body, field, _to_struct(frame.message))
     wire = ttypes.Frame(id=frame.id, reply=frame.reply, body=body)
     buffer = TTransport.TMemoryBuffer()
-    wire.write(TBinaryProtocol.TBinaryProtocol(buffer))
+    try:
+        wire.write(TBinaryProtocol.TBinaryProtocol(buffer))
+    except (*plain.CONVERSION_ERRORS, struct.error) as error:
+        raise errors.InvalidRequest(
+            f"A {field} can't be sent ({error!r:.100})."
+        ) from error
     data: bytes = buffer.getvalue()
+    if len(data) > MAX_FRAME_BYTES:
+        raise errors.InvalidRequest(
+            f"A {field} of {len(data)} bytes can't be sent; the limit is"
+            f" {MAX_FRAME_BYTES}."
+        )
     return LENGTH_PREFIX.pack(len(data)) + data
 
 
--- a/kingcuplever/connection/http_server.py
+++ b/kingcuplever/connection/http_server.py
@@ -20,6 +20,7 @@
 import trio
 
 from kingcuplever import errors
+from kingcuplever import logs
 
 MAX_BODY_BYTES: Final = 1024 * 1024
 BODY_TIMEOUT_S: Final = 10.0
@@ -167,6 +168,11 @@
             response = await self._handler(request)
         except errors.KingcupleverError as error:
             response = problem_response(error)
+        except Exception as error:
+            # Whatever one request brings about, the others are served.
+            text = f"{scope['method']} {scope['path']!r:.80}: {error!r:.200}."
+            logs.warn(logs.Component.PROCESS, text)
+            response = HttpResponse(500, (), b"")
         await _send_response(response, send)
 
 
--- a/kingcuplever/connection/keyed_log.py
+++ b/kingcuplever/connection/keyed_log.py
@@ -8,9 +8,13 @@
 """
 
 from collections.abc import Sequence
+from typing import Final
 from typing import NamedTuple
 from typing import Protocol
 
+# Longest value of a record.  The log takes 256 KiB at the users' sites.
+MAX_RECORD_BYTES: Final = 192 * 1024
+
 
 class KeyedRecord(NamedTuple):
     """One record to append.
--- a/kingcuplever/connection/peer.py
+++ b/kingcuplever/connection/peer.py
@@ -15,6 +15,7 @@
 
 from kingcuplever.connection import frames
 from kingcuplever import errors
+from kingcuplever import logs
 from kingcuplever import messages
 
 Handler = Callable[
@@ -85,9 +86,7 @@
             send.close()
             receive.close()
         if isinstance(reply, messages.PeerError):
-            raise errors.KingcupleverError(
-                reply.detail, errors.Code(reply.code)
-            )
+            raise _make_error(reply)
         return reply
 
     async def run(self) -> None:
@@ -129,7 +128,7 @@
         if not frame.reply:
             nursery.start_soon(self._handle_request, frame)
             return
-        reply_channel = self._pending_calls.get(frame.id)
+        reply_channel = self._pending_calls.pop(frame.id, None)
         if reply_channel is None:
             self.late_replies += 1
             return
@@ -140,6 +139,13 @@
             reply = await self._handler(self, frame.message)
         except errors.KingcupleverError as error:
             reply = messages.PeerError(error.code.value, error.detail)
+        except Exception as error:
+            # Whatever one request brings about, the others are served.
+            kind = type(frame.message).__name__
+            text = f"A {kind} from a peer failed: {error!r:.200}."
+            logs.warn(logs.Component.MEMBER, text)
+            code = errors.Code.PEER_FAILED
+            reply = messages.PeerError(code.value, f"{kind} failed.")
         data = frames.encode(frames.Frame(frame.id, True, reply))
         try:
             await self._write(data)
@@ -174,6 +180,20 @@
 WRITE_TIMEOUT_S = 5.0
 
 
+def _make_error(reply: messages.PeerError) -> errors.KingcupleverError:
+    """Make the error that the other end replied with.
+
+    A newer release may have codes that this one does not know.
+    """
+    try:
+        code = errors.Code(reply.code)
+    except ValueError:
+        code = errors.Code.PEER_FAILED
+        detail = f"{reply.detail} (unknown code {reply.code!r:.40})"
+        return errors.KingcupleverError(detail, code)
+    return errors.KingcupleverError(reply.detail, code)
+
+
 async def reject_requests(
     peer: PeerConnection, message: messages.Message
 ) -> messages.Message:
--- a/kingcuplever/errors.py
+++ b/kingcuplever/errors.py
@@ -35,6 +35,7 @@
     GONE = "GONE"
     PEER_LOST = "PEER_LOST"
     PEER_TIMEOUT = "PEER_TIMEOUT"
+    PEER_FAILED = "PEER_FAILED"
     PLATFORM_FAILED = "PLATFORM_FAILED"
 
 
@@ -116,6 +117,11 @@
     Code.PEER_TIMEOUT: CodeInfo(
         504, RunStatus.UNKNOWN, "Check the peer's load and the network."
     ),
+    Code.PEER_FAILED: CodeInfo(
+        502,
+        RunStatus.UNKNOWN,
+        "Read the peer's log; check that both run the same release.",
+    ),
     Code.PLATFORM_FAILED: CodeInfo(
         502, RunStatus.UNKNOWN, "Check the named platform system."
     ),
--- a/kingcuplever/process/job_api.py
+++ b/kingcuplever/process/job_api.py
@@ -116,15 +116,20 @@
         """Accept a job; a repeated submission has no further effect.
 
         :raises errors.KingcupleverError: ``OVERLOADED`` if the job was not
-            accepted, ``OUTCOME_UNKNOWN`` if it may have been.
+            accepted, ``OUTCOME_UNKNOWN`` if it may have been,
+            ``INVALID_REQUEST`` if it is too large for the log.
         """
         known = self._table.jobs.get(job)
         if known is not None and known.spec is not None:
             logs.info(logs.Component.PLACE, f"Job {job} was accepted before.")
             return
-        await self._append(
-            job, job_records.encode_submission(job, spec), timeout_s
-        )
+        record = job_records.encode_submission(job, spec)
+        if len(record.value or b"") > keyed_log.MAX_RECORD_BYTES:
+            raise errors.InvalidRequest(
+                f"The job takes {len(record.value or b'')} bytes on the log;"
+                f" send a job of {keyed_log.MAX_RECORD_BYTES} at most."
+            )
+        await self._append(job, record, timeout_s)
         logs.info(
             logs.Component.PLACE,
             f"Job {job} of {spec.account} on {spec.queue} is accepted.",
--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -365,6 +365,15 @@
             for occurrence in self.open_occurrences.values()
         )
 
+    @property
+    def is_at_task_limit(self) -> bool:
+        """Whether another occurrence would open too many tasks at a time."""
+        tasks = sum(step.tasks for step in self.spec.steps)
+        return (
+            bool(self.open_occurrences)
+            and tasks * (len(self.open_occurrences) + 1) > model.MAX_TASKS
+        )
+
     def groups(self) -> list[Group]:
         """Return the groups of all open occurrences."""
         return [
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -121,7 +121,7 @@
         """Open the due occurrences of one job."""
         while job.next_occurrence < job.spec.occurrences:
             number = job.next_occurrence
-            if wall_ms < job.spec.due_ms(number):
+            if wall_ms < job.spec.due_ms(number) or job.is_at_task_limit:
                 return
             job.next_occurrence += 1
             if number in job.finished_occurrences:
--- a/standins/wire_worker.py
+++ b/standins/wire_worker.py
@@ -14,6 +14,7 @@
 from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
 from kingcuplever import errors
+from standins import controls
 import trio
 
 _REGISTRATION_PERIOD_S: Final = 0.4
@@ -131,6 +132,7 @@
             )
         if request.path == "/control":
             changes = http_server.parse_json(request.body)
+            controls.check_names(changes, "fails_all")
             self.fails_all = changes.get("fails_all", self.fails_all)
             return http_server.json_response({})
         expected = request.headers.get("x-kingcuplever-expect-instance")
@@ -263,7 +265,7 @@
     def _make_registration(self) -> dict[str, Any]:
         return {
             "Service": self._pool,
-            "Address": "127.0.0.1:0",
+            "Address": "127.0.0.1:8080",
             "Zone": self._data_centre,
             "Version": "v1",
             "Slots": 8,
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,16 +1,21 @@
 """Frames between the product's processes, valid, damaged and arbitrary."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import typing
 from typing import Any
 
 import hypothesis
 from hypothesis import strategies as st
 from kingcuplever.connection import frames
+from kingcuplever.connection import peer as peers
 from kingcuplever import errors
 from kingcuplever.gen.peer import ttypes
 from kingcuplever import messages
 from kingcuplever import plain
 import pytest
+import trio
+import trio.testing
 
 KINDS = typing.get_args(messages.Message)
 
@@ -76,3 +81,102 @@
     except errors.InvalidRequest:
         return
     assert type(frame.message) in KINDS
+
+
+# Guards against a process that ends since one value does not fit a message.
+@pytest.mark.parametrize(
+    "message",
+    [
+        messages.WorkerReply(2**63),
+        messages.OwnerProbe("3"),  # type: ignore[arg-type]
+        messages.PeerError("\ud800", ""),
+        messages.PeerError("x" * (frames.MAX_FRAME_BYTES + 1), ""),
+    ],
+)
+def test_message_that_does_not_fit_its_fields_gets_a_typed_error(
+    message: messages.Message,
+) -> None:
+    with pytest.raises(errors.InvalidRequest):
+        frames.encode(frames.Frame(1, False, message))
+
+
+Case = Callable[[peers.PeerConnection, trio.abc.Stream], Awaitable[None]]
+
+
+def run_with_peer(case: Case, handler: peers.Handler) -> None:
+    """Run a case with a peer connection and the other end of its stream."""
+
+    async def main() -> None:
+        near, far = trio.testing.memory_stream_pair()
+        async with peers.run_peer(near, handler) as peer:
+            with trio.fail_after(5):
+                await case(peer, far)
+
+    trio.run(main)
+
+
+async def read_frame(stream: trio.abc.ReceiveStream) -> frames.Frame:
+    """Read one frame from the other end."""
+    data = bytearray()
+    while True:
+        data += await stream.receive_some(65536)
+        if len(data) >= frames.LENGTH_PREFIX.size:
+            (length,) = frames.LENGTH_PREFIX.unpack_from(data)
+            if len(data) == frames.LENGTH_PREFIX.size + length:
+                return frames.decode(bytes(data[frames.LENGTH_PREFIX.size :]))
+
+
+# Guards against a process that ends since its peer runs a newer release.
+def test_reply_with_an_unknown_code_is_a_typed_error() -> None:
+    async def case(peer: peers.PeerConnection, far: trio.abc.Stream) -> None:
+        error = messages.PeerError("CODE_OF_A_NEWER_RELEASE", "went wrong")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                far.send_all, frames.encode(frames.Frame(1, True, error))
+            )
+            with pytest.raises(errors.KingcupleverError) as raised:
+                await peer.call(messages.OwnerProbe(1), 1.0)
+        assert raised.value.code is errors.Code.PEER_FAILED
+        assert "CODE_OF_A_NEWER_RELEASE" in raised.value.detail
+
+    run_with_peer(case, peers.reject_requests)
+
+
+# Guards against a process that ends since one reply came twice.
+def test_second_reply_to_a_call_is_dropped() -> None:
+    async def case(peer: peers.PeerConnection, far: trio.abc.Stream) -> None:
+        reply = frames.encode(frames.Frame(1, True, messages.WorkerReply(5)))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(far.send_all, reply + reply)
+            assert await peer.call(
+                messages.OwnerProbe(1), 1.0
+            ) == messages.WorkerReply(5)
+        await trio.testing.wait_all_tasks_blocked()
+        assert peer.late_replies == 1
+
+    run_with_peer(case, peers.reject_requests)
+
+
+# Guards against a process that ends by an odd error in handling one request.
+def test_odd_error_of_one_request_is_replied_and_the_others_are_served() -> (
+    None
+):
+    async def handler(
+        peer: peers.PeerConnection, message: messages.Message
+    ) -> messages.Message:
+        if message == messages.OwnerProbe(1):
+            raise LookupError("odd")
+        return messages.WorkerReply(7)
+
+    async def case(peer: peers.PeerConnection, far: trio.abc.Stream) -> None:
+        for epoch in (1, 2):
+            request = frames.Frame(epoch, False, messages.OwnerProbe(epoch))
+            await far.send_all(frames.encode(request))
+            reply = (await read_frame(far)).message
+            if epoch == 1:
+                assert isinstance(reply, messages.PeerError)
+                assert reply.code == errors.Code.PEER_FAILED.value
+            else:
+                assert reply == messages.WorkerReply(7)
+
+    run_with_peer(case, handler)
--- a/tests/test_outside_input.py
+++ b/tests/test_outside_input.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
@@ -18,7 +19,9 @@
 from kingcuplever.process.stored import job_table
 from kingcuplever.request import headers
 from kingcuplever.version import configuration
+import loguru
 import pytest
+import trio
 
 json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
@@ -187,3 +190,34 @@
         plain.ValidationError, match="entry.e.callers has this"
     ):
         options.parse(document)
+
+
+# Guards against a listener that goes down, or tells nobody, when one request
+# brings about an odd error.
+def test_odd_error_of_one_http_request_is_logged_and_others_served() -> None:
+    lines: list[str] = []
+
+    async def handler(
+        request: http_server.HttpRequest,
+    ) -> http_server.HttpResponse:
+        if request.path == "/odd":
+            raise LookupError("odd")
+        return http_server.json_response({})
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            (url,) = await nursery.start(
+                http_server.serve, "127.0.0.1:0", handler, trio.Event()
+            )
+            address = url.removeprefix("http://")
+            async with http_client.HttpClient(address, 5.0) as client:
+                assert (await client.call("GET", "/odd")).status == 500
+                assert (await client.call("GET", "/even")).status == 200
+            nursery.cancel_scope.cancel()
+
+    sink = loguru.logger.add(lines.append, format="{message}")
+    try:
+        trio.run(main)
+    finally:
+        loguru.logger.remove(sink)
+    assert any("/odd" in line and "LookupError" in line for line in lines)
