Reconciler: a stop's answer counts only for the incarnation that gave it

A stop that the former incarnation answered went on to wait for a list without the run, and took the next incarnation's list; the run was then reported as refused by a worker that had not answered. Cause: the refusal was recorded after a reset without a look at the incarnation. Change: both places record through one function that looks. Ruled out: cancelling the stops at a reset, since a cancel between the answer and the list would lose a stop that the next orders repeat. Evidence: the new test fails before (refused has the run), passes with it.

--- a/kingcuplever/process/agent/order_reconciler.py
+++ b/kingcuplever/process/agent/order_reconciler.py
@@ -220,8 +220,18 @@
             # A start without an answer may still take effect; the stop
             # prevents that.
             await self._stop_until_answered(incarnation, run)
-        self.refused[run] = reason
-        self._on_change()
+        self._record_refusal(incarnation, run, reason)
+
+    def _record_refusal(
+        self, incarnation: str, run: fleet.RunId, reason: str
+    ) -> None:
+        """Record a refusal, unless its incarnation has ended meanwhile.
+
+        The next incarnation knows nothing of the run.
+        """
+        if self._state.incarnation == incarnation:
+            self.refused[run] = reason
+            self._on_change()
 
     async def _stop(self, run: fleet.RunId) -> None:
         """Stop a run; report it as refused once a newer list lacks it."""
@@ -238,8 +248,7 @@
                 is_newer and self._state.task_list_requested_at > stopped_at
             )
             if is_newer and not self._state.has_run(run):
-                self.refused[run] = "stopped"
-                self._on_change()
+                self._record_refusal(incarnation, run, "stopped")
                 return
             await trio.sleep(_RETRY_S)
 
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -8,7 +8,9 @@
 from kingcuplever import errors
 from kingcuplever import messages
 from kingcuplever.process.agent import executor as executors
+from kingcuplever.process.agent import order_reconciler
 from kingcuplever.process.agent import worker_agent
+from kingcuplever.process.agent import worker_state
 from kingcuplever.process import job_metrics
 from kingcuplever.process import leases
 from kingcuplever.process.scheduling import fleet
@@ -27,6 +29,7 @@
     :ivar closed_runs: runs that were stopped and can't start any more.
     :ivar acked: number of the last end that was acknowledged.
     :ivar lease_end_ms: latest end of the lease so far.
+    :ivar fails_stops: whether stops have no effect and get no answer.
     """
 
     def __init__(self) -> None:
@@ -41,6 +44,7 @@
         self.closed_runs: set[fleet.RunId] = set()
         self.acked = 0
         self.lease_end_ms = 0
+        self.fails_stops = False
 
     def _check(self, incarnation: str) -> None:
         if incarnation != self.incarnation:
@@ -72,6 +76,8 @@
         """Stop a run, and prevent it from starting later."""
         self._check(incarnation)
         self.calls.append(f"stop {run.run}")
+        if self.fails_stops:
+            raise errors.PlatformFailed("no answer")
         self.closed_runs.add(run)
         if self.running.pop(run, None):
             number = len(self.ended) + 1
@@ -399,3 +405,37 @@
     renewed_s = (fake.lease_end_ms - LEASE_MS) / 1000
     assert leases.AUTONOMOUS_RENEWAL_S - 2 < renewed_s
     assert renewed_s < leases.AUTONOMOUS_RENEWAL_S + 1
+
+
+# Guards against a run that its owner takes as refused by an incarnation that
+# has not answered: the stop was answered by the incarnation before it.
+def test_stop_of_a_former_incarnation_is_no_refusal_of_the_next() -> None:
+    async def main() -> None:
+        state = worker_state.WorkerState()
+        fake = FakeExecutor()
+        metrics = job_metrics.JobMetrics()
+        reconciler = order_reconciler.OrderReconciler(
+            state, fake, LEASE_MS, metrics, lambda: None
+        )
+        state.incarnations.apply_registration(make_registration("i-1"))
+        state.incarnations.confirm_candidate("i-1")
+        async with trio.open_nursery() as nursery:
+            reconciler.apply_orders(make_orders(1, stops=(1,)), nursery)
+            await trio.sleep(0.01)
+            fake.incarnation = "i-2"
+            fake.fails_stops = True
+            state.incarnations.apply_registration(make_registration("i-2"))
+            state.incarnations.confirm_candidate("i-2")
+            state.reset()
+            reconciler.reset()
+            state.task_list = executors.TaskList(0, (), ())
+            state.task_list_requested_at = trio.current_time()
+            reconciler.apply_orders(
+                make_orders(1, stops=(1,), epoch=2, incarnation="i-2"), nursery
+            )
+            await trio.sleep(1.0)
+            assert fake.calls[:2] == ["stop 1", "stop 1"]
+            assert reconciler.refused == {}
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
