--- a/kingcuplever/process/routing/router.py
+++ b/kingcuplever/process/routing/router.py
@@ -229,7 +229,7 @@
         self, assignment: Assignment, now: float
     ) -> list[RoutingDecision]:
         """Release a slot for which no request was sent."""
-        target = self._targets.get(assignment.target)
+        target = self._find_assigned(assignment)
         if target is not None:
             target.own_in_flight = max(0, target.own_in_flight - 1)
             target.probing = False
@@ -239,7 +239,7 @@
         self, assignment: Assignment, now: float
     ) -> list[RoutingDecision]:
         """Release a slot that the side refused, and mark its target full."""
-        target = self._targets.get(assignment.target)
+        target = self._find_assigned(assignment)
         if target is not None and target.state is not None:
             target.own_in_flight = max(0, target.own_in_flight - 1)
             target.others_in_flight = max(
@@ -248,6 +248,16 @@
             target.probing = False
         return self._serve_queues(now)
 
+    def _find_assigned(self, assignment: Assignment) -> _TargetStats | None:
+        """Return the target of a slot that is still taken there.
+
+        A side that has restarted since then has forgotten the slot.
+        """
+        target = self._targets.get(assignment.target)
+        if target is None or target.incarnation != assignment.incarnation:
+            return None
+        return target
+
     def cancel(self, ticket: Ticket) -> None:
         """Remove a ticket from its queue."""
         for queue in self._queues.get(ticket.service, {}).values():
