Router task: a slot that a cancelled request never heard of is given back

Change: the cancel carries the channel; an assignment in it is released. The inbox keeps the order, so the decision is there when the cancel is read. Evidence: the new test shows busy 1 before, 0 with it.

--- a/kingcuplever/process/routing/router_task.py
+++ b/kingcuplever/process/routing/router_task.py
@@ -39,6 +39,7 @@
 
 class _Cancel(NamedTuple):
     ticket: routers.Ticket
+    decisions: trio.MemoryReceiveChannel[routers.RoutingDecision]
 
 
 class _HeartbeatReceived(NamedTuple):
@@ -116,7 +117,7 @@
         try:
             return await receive.receive()
         except trio.Cancelled:
-            self._send.send_nowait(_Cancel(ticket))
+            self._send.send_nowait(_Cancel(ticket, receive))
             raise
 
     def release(
@@ -172,7 +173,7 @@
         elif isinstance(message, _Release):
             self._deliver_decisions(self._release(message, now))
         elif isinstance(message, _Cancel):
-            self._cancel(message.ticket)
+            self._cancel(message, now)
         elif isinstance(message, _HeartbeatReceived):
             self._deliver_decisions(
                 self._router.apply_heartbeat(message.heartbeat, now)
@@ -201,10 +202,20 @@
         else:
             message.waiter.send_nowait(decision)
 
-    def _cancel(self, ticket: routers.Ticket) -> None:
-        """Remove the ticket of a request that was cancelled."""
-        if self._waiters.pop(ticket.number, None) is not None:
-            self._router.cancel(ticket)
+    def _cancel(self, message: _Cancel, now: float) -> None:
+        """Remove the ticket of a request that was cancelled.
+
+        It may have got a slot that nobody has heard of.
+        """
+        if self._waiters.pop(message.ticket.number, None) is not None:
+            self._router.cancel(message.ticket)
+            return
+        try:
+            decision = message.decisions.receive_nowait()
+        except (trio.WouldBlock, trio.EndOfChannel):
+            return
+        if isinstance(decision, routers.Assignment):
+            self._deliver_decisions(self._router.release_unused(decision, now))
 
     def _deliver_decisions(
         self, decisions: list[routers.RoutingDecision]
--- a/tests/test_request_decisions.py
+++ b/tests/test_request_decisions.py
@@ -6,7 +6,11 @@
 from kingcuplever.process.routing import idempotency_keys
 from kingcuplever.process.routing import limits
 from kingcuplever.process.routing import router as routers
+from kingcuplever.process.routing import router_task
 from kingcuplever.version import configuration
+import pytest
+import trio
+import trio.testing
 
 
 @dataclasses.dataclass
@@ -285,3 +289,42 @@
     assert [
         expect_assignment(decision).ticket.number for decision in decisions
     ] == [2]
+
+
+# Guards against more requests than slots: a slot that was given back late, of
+# an incarnation that has ended, must not free one of the next incarnation.
+@pytest.mark.parametrize("way", ["release_unused", "release_as_full"])
+def test_slot_of_a_former_incarnation_frees_none_of_the_next(way: str) -> None:
+    side = FakeSide("s", slots=2)
+    router = make_router(side)
+    old = expect_assignment(router.acquire(make_ticket(1), 0.0))
+    side.incarnation = 2
+    router.apply_heartbeat(side.make_heartbeat(), 1.0)
+    expect_assignment(router.acquire(make_ticket(2), 1.0))
+    assert getattr(router, way)(old, 1.0) == []
+    (row,) = router.describe(1.0)
+    assert row["busy"] == 1
+
+
+# Guards against a slot that stays taken: the request is cancelled after it
+# was assigned, and before it heard of that.
+def test_slot_of_a_request_cancelled_meanwhile_is_free_again() -> None:
+    async def main() -> None:
+        task = router_task.RouterTask("here")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(task.run)
+            await task.apply_heartbeat(FakeSide("s", slots=1).make_heartbeat())
+            await trio.testing.wait_all_tasks_blocked()
+            with trio.CancelScope() as scope:
+                # Takes effect at the wait for the answer, not at the request.
+                trio.lowlevel.current_trio_token().run_sync_soon(scope.cancel)
+                await task.acquire(
+                    "desk", "normal", trio.current_time() + 1.0, frozenset()
+                )
+            assert scope.cancelled_caught
+            await trio.testing.wait_all_tasks_blocked()
+            (row,) = await task.describe()
+            assert row["busy"] == 0
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
