Claims: a replica that left while it was written to is passed over at once

Cause: the claimer asks again only if the key's replicas have changed, and a replica counts as one until its connection is marked as closed. That was done by the reading task alone: a write that met the reset first raised PeerLost with the connection still open, so the same replicas were found, and the claimer gave up. Ruled out: the reply lost at the draining side (a read then ends first and marks the connection); both replicas leaving. Change: the failed write marks it too. Evidence: the new test, a stream whose end only a write shows, on the code before: UNPROVABLE, "claim replica d: Connection failed while sending".

--- a/kingcuplever/connection/peer.py
+++ b/kingcuplever/connection/peer.py
@@ -165,6 +165,8 @@
                 try:
                     await self._stream.send_all(data)
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    # The reading task may not have seen it yet.
+                    self._closed = True
                     raise errors.PeerLost(
                         "Connection failed while sending.", sent=True
                     ) from None
--- a/tests/test_key_model.py
+++ b/tests/test_key_model.py
@@ -5,10 +5,16 @@
 In whatever order the dispatches arrive, the key runs at most once.
 """
 
+import contextlib
 import random
 
+from kingcuplever.connection import peer as peers
 from kingcuplever.process.routing import idempotency_keys
+from kingcuplever.process.routing import members
+from kingcuplever.request import key_claims
 import pytest
+import trio
+import trio.testing
 
 from kingcuplever import messages
 
@@ -167,3 +173,61 @@
         )
         tables[side].record_reply("k", refusal, 0.0)
         fenced_side = side
+
+
+class _HalfClosedStream(trio.abc.Stream):
+    """A stream whose other end has left, which only a write shows."""
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Fail as on a connection that was reset."""
+        await trio.lowlevel.checkpoint()
+        raise trio.BrokenResourceError
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Return at once."""
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Wait for ever: the reset is not read yet."""
+        await trio.sleep_forever()
+        return b""
+
+    async def aclose(self) -> None:
+        """Close without effect."""
+        await trio.lowlevel.checkpoint()
+
+
+# Guards against a key told as unknown since a claim replica that drains
+# closed its connection with the claim on its way: the others can tell.
+def test_claim_goes_to_other_replicas_once_one_has_left() -> None:
+    async def grant(
+        peer: peers.PeerConnection, message: messages.Message
+    ) -> messages.Message:
+        assert isinstance(message, messages.Claim)
+        return messages.ClaimReply(
+            True, message.runner, message.incarnation, 1
+        )
+
+    async def main() -> None:
+        sides = members.Members()
+        async with contextlib.AsyncExitStack() as stack:
+            for name in ("a", "b", "c"):
+                near, far = trio.testing.memory_stream_pair()
+                await stack.enter_async_context(peers.run_peer(far, grant))
+                peer = await stack.enter_async_context(peers.run_peer(near))
+                sides.record_heartbeat(
+                    peer, messages.Heartbeat(name, 1, 1, "here", (), 0), 0.0
+                )
+            leaving = peers.PeerConnection(
+                _HalfClosedStream(), peers.reject_requests
+            )
+            sides.record_heartbeat(
+                leaving, messages.Heartbeat("d", 1, 1, "here", (), 0), 0.0
+            )
+            claimer = key_claims.KeyClaimer(sides)
+            for number in range(50):
+                # Each key meets the connection as it is before its end.
+                leaving._closed = False
+                outcome = await claimer.claim("r", f"k{number}", "a", 1, 0)
+                assert outcome.status is key_claims.ClaimStatus.GRANTED
+
+    trio.run(main)
