Guarantees: a quarantine takes none away that quarantined workers can serve

Trace: the fake's tasks stop at 99 % and so stall, as real ones do; both workers are quarantined, rightly. The other four are bound to larger shapes, so the cell counts as missing, and neither cells nor placement look at the quarantined two, which are free: the scheduler is at fault, not the fake. Change: cells for which sound workers have no room are bound on quarantined ones, and work in its own cells may run there. A guarantee by count (the users' platform) that neither free room nor a preemption on sound workers can serve takes quarantined workers too. Ruled out: no quarantine for guaranteed accounts' work (it would run where all fails while sound workers are idle).

--- a/kingcuplever/process/scheduling/accounts.py
+++ b/kingcuplever/process/scheduling/accounts.py
@@ -38,17 +38,24 @@
         """Replace the guarantees and limits of all accounts."""
         self._specs = {bindings.account_id(spec): spec for spec in specs}
 
-    def rebind(self, workers: Iterable[fleet.Worker]) -> list[str]:
+    def rebind(
+        self,
+        workers: list[fleet.Worker],
+        quarantined: list[fleet.Worker],
+    ) -> None:
         """Bind cells on the given workers.
 
-        :return: accounts whose cells have changed, as text.
+        :param quarantined: workers that get the cells for which the others
+            have no room: a guarantee outlasts a quarantine.
         """
         if not self._specs:
-            return []
-        changed = self.bindings.rebind(self._specs.values(), workers)
-        return [
-            f"{account} in {data_centre}" for account, data_centre in changed
-        ]
+            return
+        specs = self._specs.values()
+        self.bindings.rebind(specs, workers)
+        if quarantined and any(
+            self.bindings.count_missing(name) for name in self._specs
+        ):
+            self.bindings.rebind(specs, [*workers, *quarantined])
 
     def specs(self) -> list[intents.AccountSpec]:
         """Return the guarantees and limits of every account."""
--- a/kingcuplever/process/scheduling/placement.py
+++ b/kingcuplever/process/scheduling/placement.py
@@ -33,9 +33,11 @@
 
 
 def is_eligible(
-    worker: fleet.Worker, group: job_state.Group, pool: str, now: float
+    worker: fleet.Worker, group: job_state.Group, pool: str
 ) -> bool:
-    """Return whether a worker may run a group's tasks, ignoring free capacity.
+    """Return whether a worker may run a group's tasks.
+
+    Free capacity and a quarantine are not looked at.
 
     :param pool: service whose workers may run it, or empty for all.
     """
@@ -46,7 +48,6 @@
         and worker.is_schedulable
         and (not pool or worker.pool == pool)
         and group.job.spec.data_centre in ("", worker.data_centre)
-        and now >= worker.quarantined_until
         and (not spec.label or spec.label in worker.labels)
     )
 
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -101,7 +101,9 @@
         """
         first = ready_queue.oldest_group(groups)
         eligible = cycle.find_eligible(
-            first, self._state.queue_policy_of(first.job).pool
+            first,
+            self._state.queue_policy_of(first.job).pool,
+            also_quarantined=True,
         )
         for group in [*groups]:
             if cycle.now < group.not_before or cycle.is_over_limit(group):
@@ -153,7 +155,7 @@
                 return
             placed = self._try_place(group, eligible, cycle)
             if not placed and urgent:
-                self._preemptor.preempt_for_urgent(group, eligible, cycle)
+                placed = self._place_urgent(group, eligible, cycle)
             if urgent and (placed or group in self._preemptor):
                 cycle.add_urgent(group)
             if placed:
@@ -164,6 +166,36 @@
                     cycle.mark_unplaceable(group, queue.pool)
                 return
 
+    def _place_urgent(
+        self,
+        group: job_state.Group,
+        eligible: list[fleet.Worker],
+        cycle: scheduling_cycle.SchedulingCycle,
+    ) -> bool:
+        """Preempt other work for an urgent group that finds no room.
+
+        Where that can't serve a guarantee, quarantined workers may.
+
+        :return: whether the group was placed on such workers.
+        """
+        self._preemptor.preempt_for_urgent(group, eligible, cycle)
+        if not cycle.is_guaranteed(group):
+            return False
+        if not self._state.is_warmed_up(cycle.now):
+            return False
+        pool = self._state.queue_policy_of(group.job).pool
+        all_eligible = cycle.find_eligible(group, pool, also_quarantined=True)
+        sound = {worker.name for worker in eligible}
+        if len(all_eligible) == len(sound):
+            return False
+        preempted = self._preemptor.preempted_workers(group)
+        if preempted and sound.issuperset(preempted):
+            return False
+        if self._try_place(group, all_eligible, cycle):
+            return True
+        self._preemptor.preempt_for_urgent(group, all_eligible, cycle)
+        return False
+
     def _reserve_for_starved(
         self,
         group: job_state.Group,
--- a/kingcuplever/process/scheduling/preemptor.py
+++ b/kingcuplever/process/scheduling/preemptor.py
@@ -40,6 +40,11 @@
         """Return whether a preemption is open for a group."""
         return group in self._preemptions
 
+    def preempted_workers(self, group: job_state.Group) -> tuple[str, ...]:
+        """Return the workers of a group's open preemption, if there is one."""
+        open_preemption = self._preemptions.get(group)
+        return () if open_preemption is None else open_preemption.workers
+
     def subtract_preempted(
         self, free: placement.FreeResources, now: float
     ) -> None:
@@ -69,14 +74,14 @@
         self, group: job_state.Group, free: placement.FreeResources
     ) -> None:
         """Subtract the capacity of a group's preemption."""
-        for name in self._preempted_workers(group):
+        for name in self.preempted_workers(group):
             free[name] = free[name].subtract(group.spec.resources)
 
     def add_back_preemption(
         self, group: job_state.Group, free: placement.FreeResources
     ) -> None:
         """Add the capacity of a group's preemption back, to place it."""
-        for name in self._preempted_workers(group):
+        for name in self.preempted_workers(group):
             free[name] = free[name].add(group.spec.resources)
 
     def finish(self, group: job_state.Group) -> None:
@@ -117,16 +122,10 @@
         ):
             # A new owner may not know yet of capacity that is free.
             return
-        account = group.job.spec.account
-        guaranteed = self._state.policy.guaranteed_gpus.get(account, 0)
-        entitled = cycle.count_urgent_gpus(account) + group.gpus <= guaranteed
+        entitled = cycle.is_guaranteed(group)
         max_cost = float("inf") if entitled else _MAX_URGENT_COST_CORE_S
         self._preempt(group, eligible, cycle, max_cost, {})
 
-    def _preempted_workers(self, group: job_state.Group) -> tuple[str, ...]:
-        open_preemption = self._preemptions.get(group)
-        return () if open_preemption is None else open_preemption.workers
-
     def _preempt(
         self,
         group: job_state.Group,
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -235,14 +235,15 @@
     def _rebind_cells(self, now: float) -> None:
         """Bind cells for the guarantees, and record bindings that changed."""
         known_accounts = self._state.accounts
-        usable = [
+        staying = [
             worker
             for worker in self._state.workers.values()
-            if worker.has_reported
-            and not worker.draining
-            and now >= worker.quarantined_until
+            if worker.has_reported and not worker.draining
         ]
-        known_accounts.rebind(usable)
+        known_accounts.rebind(
+            [w for w in staying if now >= w.quarantined_until],
+            [w for w in staying if now < w.quarantined_until],
+        )
         if self.warmup_left_s(now):
             return
         for spec in known_accounts.specs():
--- a/kingcuplever/process/scheduling/scheduling_cycle.py
+++ b/kingcuplever/process/scheduling/scheduling_cycle.py
@@ -33,7 +33,9 @@
         self.now = now
         self._state = state
         self._usable = usable
-        self._eligible: dict[tuple[str, str, str], list[fleet.Worker]] = {}
+        self._eligible: dict[
+            tuple[str, str, str, bool], list[fleet.Worker]
+        ] = {}
         self._unplaceable: set[tuple[object, ...]] = set()
         self._urgent_gpus: dict[str, int] | None = None
         self._usage: accounts.Usage | None = None
@@ -46,15 +48,24 @@
         return free * 2 > total
 
     def find_eligible(
-        self, group: job_state.Group, pool: str
+        self,
+        group: job_state.Group,
+        pool: str,
+        also_quarantined: bool = False,
     ) -> list[fleet.Worker]:
-        """Return the workers that may run a group, ignoring free capacity."""
-        key = (pool, group.spec.label, group.job.spec.data_centre)
+        """Return the workers that may run a group, ignoring free capacity.
+
+        :param also_quarantined: include quarantined workers, for work that
+            a guarantee covers.
+        """
+        data_centre = group.job.spec.data_centre
+        key = (pool, group.spec.label, data_centre, also_quarantined)
         if key not in self._eligible:
             self._eligible[key] = [
                 worker
                 for worker in self._usable
-                if placement.is_eligible(worker, group, pool, self.now)
+                if placement.is_eligible(worker, group, pool)
+                and (also_quarantined or self.now >= worker.quarantined_until)
             ]
         return self._eligible[key]
 
@@ -100,11 +111,14 @@
         account: bindings.AccountId = (spec.account, spec.data_centre)
         return free_cells.get(account, {})
 
-    def count_urgent_gpus(self, account: str) -> int:
-        """Return the accelerators that an account's urgent work uses."""
+    def is_guaranteed(self, group: job_state.Group) -> bool:
+        """Return whether the count of its account covers an urgent group."""
         self.ensure_urgent_counted()
         assert self._urgent_gpus is not None
-        return self._urgent_gpus.get(account, 0)
+        account = group.job.spec.account
+        guaranteed = self._state.policy.guaranteed_gpus.get(account, 0)
+        used = self._urgent_gpus.get(account, 0)
+        return used + group.gpus <= guaranteed
 
     def add_urgent(self, group: job_state.Group) -> None:
         """Add an urgent group that is placed or has preempted other work."""
--- a/tests/test_job_scheduling.py
+++ b/tests/test_job_scheduling.py
@@ -444,3 +444,23 @@
     pool.fail_over()
     pool.settle()
     assert pool.get_job_state("j1") == model.COMPLETED
+
+
+# Guards against a guarantee that a quarantine takes away: no sound worker
+# has the accelerators, and the quarantined one could serve them.
+def test_guaranteed_work_runs_on_a_quarantined_worker_if_it_must() -> None:
+    pool = pools.Pool(2, {"stable": 16})
+    first, _ = pool.scheduler.workers.values()
+    first.quarantine(60.0, pool.now)
+    pool.submit("b", pools.spec(pools.step(tasks=1, gpus=8), queue="batch"))
+    pool.settle()
+    assert [
+        w.name == first.name for w in pool.running_tasks("b").values()
+    ] == [False]
+    pool.submit(
+        "u",
+        pools.spec(pools.step(tasks=2, gpus=8, gang=True), queue="urgent"),
+    )
+    pool.settle(12)
+    assert len(pool.running_tasks("u")) == 2
+    assert not pool.running_tasks("b")
