Platform: each role loads a module of its own

What users pay: memory is priced for each machine, dear to the workshop, and a side loaded the whole scheduler, the entry the worker's agent. Measured (compiled modules, private memory after the imports): both roles 28.6 MB and 562 modules before; a side 26.9 MB and 517, an entry 28.6 and 561. So the split alone gives a side 1.7 MB; the rest is libraries: trio 11.5 MB, with the interpreter 14.5; asyncio and multiprocessing through loguru 2.0, prometheus_client 2.1, h2 and wsproto through hypercorn 1.9. Tried and not kept: importlib's LazyLoader for ssl, asyncio, multiprocessing, h2, wsproto, wsgiref: no gain, since httpcore, hypercorn and loguru use them in class statements, which loads them at once. Change: entry_role and side_role; the owner's announcement moves to stored, where entries find it without the agent.

--- a/kingcuplever/platform/__main__.py
+++ b/kingcuplever/platform/__main__.py
@@ -1,6 +1,7 @@
 """Starts an entry or a side: ``python3 -m kingcuplever.platform``."""
 
 import argparse
+import importlib
 import signal
 import sys
 
@@ -8,7 +9,6 @@
 
 from kingcuplever import errors
 from kingcuplever import logs
-from kingcuplever.platform import roles
 from kingcuplever.platform import settings
 
 
@@ -28,8 +28,9 @@
         print(error.detail, file=sys.stderr)
         return 2
     logs.configure(host.name)
-    run = roles.run_entry if role == "entry" else roles.run_side
-    trio.run(run, host)
+    # Each role's module is loaded only where it runs, to save memory.
+    module = importlib.import_module(f"kingcuplever.platform.{role}_role")
+    trio.run(module.run, host)
     return 0
 
 
--- /dev/null
+++ b/kingcuplever/platform/side_role.py
@@ -0,0 +1,67 @@
+"""Wires and runs a side on the users' platform."""
+
+import contextlib
+
+import trio
+
+from kingcuplever.connection import http_client
+from kingcuplever.connection import http_server
+from kingcuplever import logs
+from kingcuplever.platform import executor
+from kingcuplever.platform import registry
+from kingcuplever.platform import roles
+from kingcuplever.platform import settings
+from kingcuplever.platform import store
+from kingcuplever.process.agent import owner_link
+from kingcuplever.process.agent import worker_agent
+from kingcuplever.process import job_metrics
+from kingcuplever.process import leases
+from kingcuplever.process import signals
+from kingcuplever.process.stored import owner_announcements
+from kingcuplever.process.stored import topic_follower
+
+
+async def run(host: settings.HostSettings) -> None:
+    """Run a side until SIGTERM."""
+    metrics = job_metrics.JobMetrics()
+    async with contextlib.AsyncExitStack() as stack:
+        log_client = await stack.enter_async_context(
+            http_client.HttpClient(host.log, leases.AUTONOMOUS_RENEWAL_S)
+        )
+        worker_client = await stack.enter_async_context(
+            http_client.HttpClient(host.worker, leases.AUTONOMOUS_RENEWAL_S)
+        )
+        agent = worker_agent.WorkerAgent(
+            host.name,
+            executor.Executor(worker_client),
+            host.lease_ms,
+            metrics,
+        )
+        sink = owner_link.OwnerSink()
+        follower = topic_follower.Follower(
+            store.Store(log_client),
+            owner_announcements.TOPIC,
+            sink,
+            owner_link.READ_PAUSE_S,
+            metrics,
+            owner_link.POLL_MS,
+        )
+        link = owner_link.OwnerLink(sink, agent)
+        stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            await nursery.start(
+                signals.reload_on_hangup, roles.reload_settings
+            )
+            for task in (agent.run, follower.run, link.run):
+                nursery.start_soon(task)
+            await nursery.start(roles.serve_metrics, host, metrics)
+            await nursery.start(
+                http_server.serve,
+                host.registry,
+                registry.make_handler(agent),
+                stop,
+            )
+            logs.info(logs.Component.PROCESS, f"Side {host.name} runs.")
+            await signals.wait_for_stop()
+            logs.info(logs.Component.PROCESS, f"Side {host.name} ends.")
+            nursery.cancel_scope.cancel()
--- a/kingcuplever/process/agent/owner_link.py
+++ b/kingcuplever/process/agent/owner_link.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import json
 from typing import Final
 
 import trio
@@ -20,8 +19,6 @@
 from kingcuplever.process.agent import worker_agent
 from kingcuplever.process.stored import job_records
 
-TOPIC: Final = "owner"
-
 # How long one read waits for an announcement.  Long, since sides are many and
 # owners change rarely; bounds how long a dead connection hides a new owner.
 POLL_MS: Final = 4000
@@ -36,12 +33,6 @@
 _RECONNECT_PAUSE_S: Final = 0.25
 
 
-def make_announcement(owner: job_records.Owner) -> keyed_log.KeyedRecord:
-    """Make the record that announces the owner to the sides."""
-    data = json.dumps(list(owner), separators=(",", ":")).encode()
-    return keyed_log.KeyedRecord(job_records.OWNER_KEY, data)
-
-
 class OwnerSink:
     """Keeps the newest owner announcement of the topic.
 
--- a/kingcuplever/process/owner/owner_term.py
+++ b/kingcuplever/process/owner/owner_term.py
@@ -16,7 +16,6 @@
 from kingcuplever import logs
 from kingcuplever import messages
 from kingcuplever.process import advisers
-from kingcuplever.process.agent import owner_link
 from kingcuplever.process import job_metrics
 from kingcuplever.process.owner import evidence_writer
 from kingcuplever.process.owner import maintenance_controller
@@ -28,6 +27,7 @@
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import job_table
 from kingcuplever.process.stored import log_producer
+from kingcuplever.process.stored import owner_announcements
 
 PRODUCER_NAME: Final = "owner"
 # Renewal number of the record by which an owner resigns.
@@ -187,9 +187,9 @@
     async def _announce(self) -> None:
         """Announce the owner to sides, on a topic of its own."""
         producer = log_producer.Producer(
-            self._log, owner_link.TOPIC, PRODUCER_NAME, self.epoch
+            self._log, owner_announcements.TOPIC, PRODUCER_NAME, self.epoch
         )
-        record = owner_link.make_announcement(self._owner)
+        record = owner_announcements.make_announcement(self._owner)
         try:
             await producer.append([record], retry_refused=True)
         except errors.LogFenced as error:
--- a/kingcuplever/process/side.py
+++ b/kingcuplever/process/side.py
@@ -28,6 +28,7 @@
 from kingcuplever.process.routing import targets
 from kingcuplever.process import signals
 from kingcuplever.process.stored import job_records
+from kingcuplever.process.stored import owner_announcements
 from kingcuplever.process.stored import topic_follower
 from kingcuplever.request import dispatching
 
@@ -116,7 +117,7 @@
         sink = owner_link.OwnerSink()
         follower = topic_follower.Follower(
             self._factories.make_log(log),
-            owner_link.TOPIC,
+            owner_announcements.TOPIC,
             sink,
             owner_link.READ_PAUSE_S,
             metrics,
