Preemption: urgent work is stopped for urgent work only if nothing else will do

Cause: a victim's price was the work that it would lose, and of all work the urgent run that had just begun, for which others had been stopped, has least. So each guaranteed job took the one before it, and batch work last. Change: urgent victims carry a price above any other plan's, also above that of a gang that is slow across racks (a run in the wrong rack makes one job late; stopping an urgent one makes another late and loses its work). They stay victims, so a guarantee is still met where only they could make room. Ruled out: protecting urgent runs altogether (the second new test: a guarantee would go unmet). Evidence: two of the three new tests in tests/test_loads.py fail before.

--- a/kingcuplever/process/scheduling/preemption.py
+++ b/kingcuplever/process/scheduling/preemption.py
@@ -4,6 +4,8 @@
 stopped there.  Groups that are already being stopped cost nothing more.
 """
 
+from collections.abc import Set
+from typing import Final
 from typing import NamedTuple
 
 from kingcuplever.process.scheduling import fleet
@@ -12,14 +14,19 @@
 
 # Added to the cost of a plan in the wrong rack: work takes several times as
 # long there, so stopping more work elsewhere is better.
-_SLOW_RACK_COST_CORE_S = 1e6
+_SLOW_RACK_COST_CORE_S: Final = 1e6
+# Added for each urgent victim, which has little work to lose and a tight
+# objective.  It comes last: even a run in the wrong rack makes one job late
+# where stopping an urgent one makes another late, and throws its work away.
+_URGENT_VICTIM_COST_CORE_S: Final = 1e7
 
 
 class PreemptionPlan(NamedTuple):
     """Workers that have room for a group once the victims are stopped.
 
     :ivar workers: the worker of each task, in the order of the tasks.
-    :ivar cost: core-seconds of work lost, plus a penalty for a slow rack.
+    :ivar cost: core-seconds of work lost, plus penalties for a slow rack and
+        for urgent victims.
     """
 
     workers: tuple[str, ...]
@@ -34,15 +41,18 @@
         self,
         free: dict[str, model.Resources],
         candidates: dict[str, list[job_state.Group]],
+        urgent: Set[job_state.Group],
         now: float,
     ) -> None:
         """Prepare a search.
 
         :param free: free resources by worker.
         :param candidates: groups that may be stopped, by worker.
+        :param urgent: those among them that are urgent.
         """
         self._free = free
         self._candidates = candidates
+        self._urgent = urgent
         self._now = now
         self._task_limits: dict[str, int] = {}
 
@@ -54,14 +64,15 @@
     ) -> PreemptionPlan | None:
         """Return the cheapest plan, or None if there is none.
 
-        Plans in one rack, or near the data, come before all others.
+        Plans in one rack, or near the data, come before others, unless they
+        stop urgent work.
 
         :param workers: those that are eligible for the group.
         :param task_limits: most tasks on each worker; empty for no limit.
         """
         spec = group.spec
         self._task_limits = task_limits
-        plans = []
+        plans: list[PreemptionPlan | None] = []
         if spec.gang and spec.same_rack:
             for rack in sorted({worker.rack for worker in workers}):
                 members = [w for w in workers if w.rack == rack]
@@ -70,11 +81,12 @@
         elif spec.data_rack:
             local_workers = [w for w in workers if w.rack == spec.data_rack]
             plans.append(self._plan_greedily(group, local_workers, False))
-        if not any(plans):
+        best = _choose_cheapest(plans)
+        if best is None or best.cost >= _URGENT_VICTIM_COST_CORE_S:
             slow = bool(spec.data_rack or spec.same_rack)
             plans.append(self._plan_greedily(group, workers, slow))
-        found = [plan for plan in plans if plan is not None]
-        return min(found, key=lambda plan: plan.cost, default=None)
+            best = _choose_cheapest(plans)
+        return best
 
     def _plan_greedily(
         self, group: job_state.Group, workers: list[fleet.Worker], slow: bool
@@ -157,7 +169,9 @@
         """
         if victim.stop_reason:
             return 0.0
-        return 1.0 + victim.estimate_lost_work(self._now) * len(victim.tasks)
+        urgent = _URGENT_VICTIM_COST_CORE_S if victim in self._urgent else 0.0
+        lost = victim.estimate_lost_work(self._now) * len(victim.tasks)
+        return 1.0 + lost + urgent
 
     def _free_victim(
         self, victim: job_state.Group, free: dict[str, model.Resources]
@@ -167,6 +181,13 @@
                 free[name] = free[name].add(_resources_on(victim, name))
 
 
+def _choose_cheapest(
+    plans: list[PreemptionPlan | None],
+) -> PreemptionPlan | None:
+    found = [plan for plan in plans if plan is not None]
+    return min(found, key=lambda plan: plan.cost, default=None)
+
+
 def _resources_on(group: job_state.Group, name: str) -> model.Resources:
     """Return the resources that a group has allocated on one worker."""
     allocated = model.NO_RESOURCES
--- a/kingcuplever/process/scheduling/preemptor.py
+++ b/kingcuplever/process/scheduling/preemptor.py
@@ -140,8 +140,10 @@
         :param task_limits: most tasks on each worker; empty for no limit.
         """
         entitled = max_cost == float("inf")
-        victims = self._find_victims(eligible, entitled)
-        search = preemption.PreemptionSearch(cycle.free, victims, cycle.now)
+        victims, urgent = self._find_victims(eligible, entitled)
+        search = preemption.PreemptionSearch(
+            cycle.free, victims, urgent, cycle.now
+        )
         plan = search.find_cheapest(group, eligible, task_limits)
         if plan is None or plan.cost > max_cost:
             return
@@ -176,16 +178,18 @@
 
     def _find_victims(
         self, workers: list[fleet.Worker], entitled: bool
-    ) -> dict[str, list[job_state.Group]]:
+    ) -> tuple[dict[str, list[job_state.Group]], set[job_state.Group]]:
         """Return the groups on each worker that may be stopped.
 
         Groups within their account's guarantee are protected, and so are
         those with a disruption budget.
 
         :param entitled: urgent groups may be stopped as well.
+        :return: those groups, and the urgent ones among them.
         """
         protected = self._find_protected()
         victims: dict[str, list[job_state.Group]] = {}
+        urgent: set[job_state.Group] = set()
         for worker in workers:
             groups: dict[job_state.Group, None] = {}
             for run in worker.allocations:
@@ -199,8 +203,10 @@
                     continue
                 if not group.spec.may_miss:
                     groups[group] = None
+                    if is_urgent:
+                        urgent.add(group)
             victims[worker.name] = list(groups)
-        return victims
+        return victims, urgent
 
     def _find_protected(self) -> set[job_state.Group]:
         """Return the groups that guarantees cover, oldest jobs first."""
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -299,3 +299,62 @@
     pool.submit(batch, pools.spec(whole_worker, queue="batch"))
     pool.settle()
     assert len(pool.running_tasks(batch)) >= 1
+
+
+def test_urgent_work_is_not_stopped_for_urgent_work_if_batch_work_will_do() -> (
+    None
+):
+    """Guards against urgent jobs of two accounts that stop one another.
+
+    An urgent job has other work stopped for it and starts.  A second later a
+    guaranteed one of another account arrives.  The first had least work to
+    lose, so it was stopped: twice the work was lost, and both were late.
+    """
+    pool = pools.Pool(3, guaranteed={"stable": 8})
+    step = pools.step(gpus=8, estimate_ms=60_000)
+    for name in "abc":
+        pool.submit(name * 16, pools.spec(step, queue="batch", account="y"))
+    pool.advance_time(2.0)
+    first, second = "1" * 16, "2" * 16
+    pool.submit(first, pools.spec(step, queue="urgent", account="x"))
+    pool.advance_time(1.0)
+    assert len(pool.running_tasks(first)) == 1
+    pool.submit(second, pools.spec(step, queue="urgent"))
+    pool.advance_time(1.0)
+    assert len(pool.running_tasks(second)) == 1
+    assert len(pool.running_tasks(first)) == 1
+    assert pool.scheduler.jobs[first].evictions == 0
+
+
+def test_guaranteed_work_stops_urgent_work_if_nothing_else_will_do() -> None:
+    """Check that a guarantee is met where only urgent work could make room."""
+    pool = pools.Pool(1, guaranteed={"stable": 8})
+    step = pools.step(gpus=8, estimate_ms=60_000)
+    pool.submit("1" * 16, pools.spec(step, queue="urgent", account="x"))
+    pool.advance_time(1.0)
+    pool.submit("2" * 16, pools.spec(step, queue="urgent"))
+    pool.advance_time(1.0)
+    assert len(pool.running_tasks("2" * 16)) == 1
+    assert not pool.running_tasks("1" * 16)
+
+
+def test_gang_is_slow_sooner_than_it_stops_urgent_work() -> None:
+    """Guards against a gang that stops urgent work to be in one rack.
+
+    Three of the four workers are in one rack; one of those has urgent work,
+    the others batch work.
+    """
+    pool = pools.Pool(4, guaranteed={"z": 24})
+    step = pools.step(gpus=8, estimate_ms=60_000)
+    pool.submit("1" * 16, pools.spec(step, queue="urgent", account="x"))
+    pool.settle()
+    for name in "abc":
+        pool.submit(name * 16, pools.spec(step, queue="batch", account="y"))
+    pool.advance_time(1.0)
+    (near,) = pool.running_tasks("1" * 16).values()
+    assert near.rack == "r1-0"
+    gang = pools.step(3, gpus=8, gang=True, same_rack=True)
+    pool.submit("2" * 16, pools.spec(gang, queue="urgent", account="z"))
+    pool.advance_time(6.0)
+    assert len(pool.running_tasks("2" * 16)) == 3
+    assert pool.scheduler.jobs["1" * 16].evictions == 0
