Side: no start without the owner's permission, and a suspension uses it up

What callers could see: a task run twice at a time. Cause: a side bounds the renewals that it makes without an owner (12 s), and the owner waits for that bound before it runs the tasks elsewhere; but a start that the worker had not answered was retried without a look at it, for as long as no newer orders came. And the silence was counted by the event loop's clock, which stands while the host is suspended: after 25 s of suspension the side renewed, and started, as if it had heard of the owner just now. Change: one question, WorkerState.may_act, before each start and renewal; the silence is the longer of the loop's clock and CLOCK_BOOTTIME. Ruled out: dropping the orders after the silence (the same owner may come back and still want them); the fence alone (the worker has heard of no newer one). Evidence: both new tests fail before (the task runs 23 s after the last word of an owner, and after 25 s of suspension), pass with it.

--- a/kingcuplever/process/agent/order_reconciler.py
+++ b/kingcuplever/process/agent/order_reconciler.py
@@ -152,7 +152,7 @@
     ) -> None:
         in_doubt = False
         while run in self._wanted_starts and not self._state.has_run(run):
-            if not self._state.clock.is_known:
+            if not (self._state.clock.is_known and self._state.may_act):
                 await trio.sleep(_RETRY_S)
                 continue
             if self._state.is_draining:
--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -49,13 +49,12 @@
         :param autonomous_renewal_s: how long leases are renewed without
             contact to an owner.
         """
-        self._autonomous_renewal_s = autonomous_renewal_s
         self.changed = trio.Event()
         self._side = side
         self._worker = worker
         self._lease_ms = lease_ms
         metrics.alone_seconds.set_function(self._get_owner_silence_s)
-        self._state = worker_state.WorkerState()
+        self._state = worker_state.WorkerState(autonomous_renewal_s)
         self._orders = order_reconciler.OrderReconciler(
             self._state, worker, lease_ms, metrics, self._signal_change
         )
@@ -66,7 +65,7 @@
     def _get_owner_silence_s(self) -> float:
         """Return the seconds since the last contact to an owner."""
         try:
-            return trio.current_time() - self._state.owner_contact_at
+            return self._state.owner_silence_s
         except RuntimeError:
             # The metrics are read outside of a trio run, as in tests.
             return 0.0
@@ -190,8 +189,7 @@
             self._state.clock.is_known
             and self._state.incarnations.candidate is None
         ):
-            contact_at = self._state.owner_contact_at
-            if leases.can_renew(contact_at, now, self._autonomous_renewal_s):
+            if self._state.may_act:
                 lease_end_ms = self._state.clock.compute_lease_end_ms(
                     self._lease_ms, now
                 )
--- a/kingcuplever/process/agent/worker_state.py
+++ b/kingcuplever/process/agent/worker_state.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from kingcuplever import clock
 from kingcuplever.process.agent import executor as executors
 from kingcuplever.process.agent import worker_incarnations
 from kingcuplever.process import leases
@@ -12,17 +13,22 @@
     """The worker's incarnation, clock and task list, and the owner's epoch.
 
     :ivar epoch: highest epoch of an owner that has been in contact.
-    :ivar owner_contact_at: monotonic time of the last contact to an owner.
     :ivar task_list: newest task list of the current incarnation.
     :ivar task_list_requested_at: monotonic time when it was requested.
     """
 
-    def __init__(self) -> None:
-        """Start without a worker or an owner."""
+    def __init__(self, autonomous_renewal_s: float) -> None:
+        """Start without a worker or an owner.
+
+        :param autonomous_renewal_s: how long the side acts without contact
+            to an owner.
+        """
+        self._autonomous_renewal_s = autonomous_renewal_s
+        self._owner_contact_at = float("-inf")
+        self._owner_contact_boot_s = float("-inf")
         self.incarnations = worker_incarnations.IncarnationTracker()
         self.clock = leases.WorkerClock()
         self.epoch = 0
-        self.owner_contact_at = float("-inf")
         self.task_list: executors.TaskList | None = None
         self.task_list_requested_at = 0.0
 
@@ -38,11 +44,28 @@
         current = self.incarnations.current
         return current is not None and current.draining
 
+    @property
+    def owner_silence_s(self) -> float:
+        """Seconds since the last contact to an owner.
+
+        Those count in which this process was suspended.
+        """
+        return max(
+            trio.current_time() - self._owner_contact_at,
+            clock.boot_s() - self._owner_contact_boot_s,
+        )
+
+    @property
+    def may_act(self) -> bool:
+        """Whether the last contact to an owner permits starts and renewals."""
+        return leases.can_act(self.owner_silence_s, self._autonomous_renewal_s)
+
     def record_owner_contact(self, epoch: int) -> None:
         """Record a contact to the owner of an epoch; ignore older ones."""
         if epoch >= self.epoch:
             self.epoch = epoch
-            self.owner_contact_at = trio.current_time()
+            self._owner_contact_at = trio.current_time()
+            self._owner_contact_boot_s = clock.boot_s()
 
     def reset(self) -> None:
         """Drop the task list and clock of the previous incarnation."""
--- a/kingcuplever/process/leases.py
+++ b/kingcuplever/process/leases.py
@@ -20,11 +20,12 @@
 _RENEWAL_PERIOD_S: Final = 1.0
 
 
-def can_renew(
-    owner_contact_at: float, now: float, autonomous_renewal_s: float
-) -> bool:
-    """Return whether a side may renew leases without an owner."""
-    return now - owner_contact_at < autonomous_renewal_s
+def can_act(owner_silence_s: float, autonomous_renewal_s: float) -> bool:
+    """Return whether a side may renew leases and start tasks.
+
+    After that silence the owner may have started the tasks elsewhere.
+    """
+    return owner_silence_s < autonomous_renewal_s
 
 
 def compute_side_timeout_s(
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -301,9 +301,7 @@
     assert len(pool.running_tasks(batch)) >= 1
 
 
-def test_urgent_work_is_not_stopped_for_urgent_work_if_batch_work_will_do() -> (
-    None
-):
+def test_urgent_work_is_stopped_for_urgent_work_last() -> None:
     """Guards against urgent jobs of two accounts that stop one another.
 
     An urgent job has other work stopped for it and starts.  A second later a
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -3,8 +3,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import pytest
 import trio
 
+from kingcuplever import clock
 from kingcuplever import errors
 from kingcuplever import messages
 from kingcuplever.process.agent import executor as executors
@@ -411,7 +413,7 @@
 # has not answered: the stop was answered by the incarnation before it.
 def test_stop_of_a_former_incarnation_is_no_refusal_of_the_next() -> None:
     async def main() -> None:
-        state = worker_state.WorkerState()
+        state = worker_state.WorkerState(12.0)
         fake = FakeExecutor()
         metrics = job_metrics.JobMetrics()
         reconciler = order_reconciler.OrderReconciler(
@@ -439,3 +441,51 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+# Guards against a start that an owner has given up: it has not heard of the
+# side for longer than the side may act alone, and ran the task elsewhere.
+@with_worker_agent
+async def test_start_is_not_retried_once_the_owner_may_have_given_it_up(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    fake.unanswered_starts = 10_000
+    agent.apply_orders(make_orders(1, 1))
+    await trio.sleep(leases.AUTONOMOUS_RENEWAL_S + 1.0)
+    fake.unanswered_starts = 0
+    await trio.sleep(10.0)
+    assert not fake.running
+    # The owner is back, and still orders it.
+    agent.record_owner_contact(1)
+    await trio.sleep(1.0)
+    assert len(fake.running) == 1
+
+
+# Guards against the same after a suspension, for which the clock of the event
+# loop stands still.
+def test_start_waits_for_the_owner_after_a_suspension(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    boot_s = [1000.0]
+    monkeypatch.setattr(clock, "boot_s", lambda: boot_s[0])
+
+    @with_worker_agent
+    async def scenario(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        fake.unanswered_starts = 1
+        agent.apply_orders(make_orders(1, 1))
+        await trio.sleep(0.01)
+        boot_s[0] += 25.0
+        # A renewal may have been under way.
+        await trio.sleep(1.5)
+        lease_end_ms = fake.lease_end_ms
+        await trio.sleep(3.0)
+        assert not fake.running
+        assert fake.lease_end_ms == lease_end_ms
+        agent.record_owner_contact(1)
+        await trio.sleep(1.5)
+        assert len(fake.running) == 1
+        assert fake.lease_end_ms > lease_end_ms
+
+    scenario()
