Owner records: one without an address to dial names no owner

Found by walking what may end a process: an owner's record, or announcement, with a damaged address was taken, and each side and entry that dialled it ended by ValueError, and again after its restart, as the record is the newest. Change: the decoder checks the address; such a record is skipped with a line. Evidence: the new test fails before (owner e2). Besides, tests of the silence of 5, 13, 18 and 25 s that pass before and after: work of a host that was only silent goes on, and runs once.

--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from kingcuplever.connection import keyed_log
+from kingcuplever import options
 from kingcuplever import plain
 from kingcuplever.process.scheduling import maintenance_rounds
 from kingcuplever.process.scheduling import model
@@ -206,7 +207,10 @@
         _check_types([state, *numbers], (str, int, int, int))
         return Progress(key[2:], state, tuple(done), rows, *numbers)
     if key == OWNER_KEY:
-        return Owner(*_check_types(document, (int, str, str, int, str)))
+        owner = Owner(*_check_types(document, (int, str, str, int, str)))
+        # Sides and entries dial it.
+        options.split_address(owner.address)
+        return owner
     if maintenance_records.is_round_key(key):
         return maintenance_records.decode_record(key, document)
     if intent_records.is_intent_key(key):
--- a/tests/test_job_scheduling.py
+++ b/tests/test_job_scheduling.py
@@ -464,3 +464,43 @@
     pool.settle(12)
     assert len(pool.running_tasks("u")) == 2
     assert not pool.running_tasks("b")
+
+
+# Guards against work of a host that was only silent: it is neither started
+# again nor given up before its leases have surely ended, and it goes on.
+@pytest.mark.parametrize("silence_s", [5.0, 13.0, 18.0])
+def test_work_of_a_silent_worker_goes_on_when_it_is_back(
+    silence_s: float,
+) -> None:
+    pool = pools.Pool(2)
+    pool.submit("a", pools.spec(pools.step(gpus=8)))
+    pool.settle()
+    ((run, fake),) = pool.running_tasks("a").items()
+    fake.is_disconnected = True
+    pool.scheduler.mark_side_disconnected(fake.side)
+    pool.advance_time(silence_s)
+    assert pool.running_tasks("a") == {run: fake}
+    fake.is_disconnected = False
+    pool.advance_time(2.0)
+    assert pool.running_tasks("a") == {run: fake}
+    pool.end_tasks("a", "done")
+    pool.settle()
+    assert pool.get_job_state("a") == "completed"
+
+
+def test_work_of_a_worker_that_was_silent_for_long_runs_once() -> None:
+    """Check that its old run is stopped when it is back after all."""
+    pool = pools.Pool(2)
+    pool.submit("a", pools.spec(pools.step(gpus=8)))
+    pool.settle()
+    ((run, fake),) = pool.running_tasks("a").items()
+    fake.is_disconnected = True
+    pool.scheduler.mark_side_disconnected(fake.side)
+    pool.advance_time(15.0)
+    fake.expire_lease()
+    pool.advance_time(10.0)
+    ((next_run, other),) = pool.running_tasks("a").items()
+    assert other is not fake and next_run.run == run.run + 1
+    fake.is_disconnected = False
+    pool.advance_time(2.0)
+    assert pool.running_tasks("a") == {next_run: other}
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -509,3 +509,18 @@
         job_records.decode_record(keyed_log.StoredRecord(0, key, damaged))
     except plain.ValidationError:
         return
+
+
+# Guards against sides and entries that end when they dial such an owner.
+@pytest.mark.parametrize("address", ["", "no address", "10.1.0.1:0", ":7000"])
+def test_owner_without_an_address_to_dial_is_no_owner(address: str) -> None:
+    table = job_table.JobTable()
+    good = b'[3,"e1","10.1.0.1:7000",5,""]'
+    bad = json.dumps([4, "e2", address, 1, ""]).encode()
+    table.apply_records(
+        [
+            keyed_log.StoredRecord(0, "owner", good),
+            keyed_log.StoredRecord(1, "owner", bad),
+        ]
+    )
+    assert table.owner is not None and table.owner.entry == "e1"
