Headroom: room is kept for all urgent jobs that come within one preemption

What callers saw: where urgent jobs come twice a second (the large fleet), several come before a stop has ended, and only the first found room kept. Cause: headroom is for one job like the median of the last five, whatever the rate. Change: for as many as came within a second of one another, at the 0.9 quantile of the last 30 s; still an eighth of the pool at most, and none in a pool that is half free. Test: tests/test_loads.py, fails before (2, 2, 2 kept).

--- a/kingcuplever/process/scheduling/headroom.py
+++ b/kingcuplever/process/scheduling/headroom.py
@@ -2,9 +2,11 @@
 
 Preempting other work takes up to a second and loses work, while urgent jobs
 are short and have tight objectives.  As long as urgent jobs keep arriving,
-capacity for one like the recent ones is withheld from lower priorities.
+capacity for those that are likely to come before a preemption could make
+room, each like the recent ones, is withheld from lower priorities.
 """
 
+import bisect
 import collections
 from collections.abc import Iterable
 import statistics
@@ -17,8 +19,14 @@
 
 # Older arrivals don't predict the next one.
 _ARRIVAL_WINDOW_S: Final = 30.0
-# The next urgent job is assumed to be like the median of these.
-_ARRIVALS_KEPT: Final = 5
+# The next urgent job is assumed to be like the median of the newest ones.
+_TYPICAL_ARRIVALS: Final = 5
+# Bounds the memory and time of a burst.
+_ARRIVALS_KEPT: Final = 100
+# Time until a preemption has made room: the stop, its report and the start.
+_RECLAIM_S: Final = 1.0
+# Quantile of the arrivals within that time that capacity is kept for.
+_ARRIVALS_QUANTILE: Final = 0.9
 
 
 class _Arrival(NamedTuple):
@@ -61,7 +69,7 @@
         max_share: float,
         now: float,
     ) -> None:
-        """Subtract capacity for the next urgent job from the free resources.
+        """Subtract capacity for the next urgent jobs from the free resources.
 
         Nothing is reserved while at least half of the pool's accelerators
         are free, since both kinds of work fit then.
@@ -80,26 +88,45 @@
         if free_gpus * 2 >= total_gpus:
             return
         max_tasks = int(total_gpus * max_share) // max(1, typical.request.gpus)
-        tasks = min(typical.tasks, max_tasks)
         by_rack: dict[str, list[fleet.Worker]] = {}
         for worker in staying:
             by_rack.setdefault(worker.rack, []).append(worker)
-        best_rack = max(
-            by_rack.values(),
-            key=lambda rack: _count_fitting_tasks(rack, free, typical.request),
-            default=[],
-        )
-        for _ in range(tasks if best_rack else 0):
-            worker = _choose_worker(best_rack, free, typical.request)
-            free[worker.name] = free[worker.name].subtract(typical.request)
-
-    def _typical_arrival(self, pool: str, now: float) -> _Arrival | None:
-        arrivals = self._arrivals.get(pool)
-        recent = [
+        for _ in range(self._count_likely_arrivals(pool, now)):
+            tasks = min(typical.tasks, max_tasks)
+            max_tasks -= tasks
+            best_rack = max(
+                by_rack.values(),
+                key=lambda rack: _count_fitting_tasks(
+                    rack, free, typical.request
+                ),
+                default=[],
+            )
+            for _ in range(tasks if best_rack else 0):
+                worker = _choose_worker(best_rack, free, typical.request)
+                free[worker.name] = free[worker.name].subtract(typical.request)
+
+    def _recent_arrivals(self, pool: str, now: float) -> list[_Arrival]:
+        return [
             arrival
-            for arrival in arrivals or ()
+            for arrival in self._arrivals.get(pool, ())
             if now - arrival.arrived_at <= _ARRIVAL_WINDOW_S
         ]
+
+    def _count_likely_arrivals(self, pool: str, now: float) -> int:
+        """Count the urgent jobs likely to arrive within one preemption.
+
+        The count is a quantile over the recent arrivals of how many came
+        with each or soon after it.
+        """
+        times = [item.arrived_at for item in self._recent_arrivals(pool, now)]
+        counts = sorted(
+            bisect.bisect_right(times, at + _RECLAIM_S) - index
+            for index, at in enumerate(times)
+        )
+        return counts[int(len(counts) * _ARRIVALS_QUANTILE)] if counts else 0
+
+    def _typical_arrival(self, pool: str, now: float) -> _Arrival | None:
+        recent = self._recent_arrivals(pool, now)[-_TYPICAL_ARRIVALS:]
         if len(recent) < 2:
             return None
         median_gpus = statistics.median_low(arrival.gpus for arrival in recent)
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -4,6 +4,8 @@
 workers and no network.
 """
 
+from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import headroom
 from tests import pool as pools
 
 
@@ -356,3 +358,37 @@
     pool.advance_time(6.0)
     assert len(pool.running_tasks("2" * 16)) == 3
     assert pool.scheduler.jobs["1" * 16].evictions == 0
+
+
+def count_kept_gpus(interval_s: float, arrivals: int) -> int:
+    """Count the accelerators kept after urgent jobs of two came evenly.
+
+    The pool has 16 workers, and one accelerator in four is free.
+    """
+    urgent = headroom.Headroom()
+    workers = []
+    for number in range(16):
+        worker = fleet.Worker(f"i-{number}@s-{number}", 0.0)
+        worker.labels = ("a", f"r1-{number // 4}")
+        worker.capacity = pools.WORKER_CAPACITY
+        worker.free = pools.WORKER_CAPACITY._replace(gpus=2)
+        workers.append(worker)
+    now = 0.0
+    for _ in range(arrivals):
+        now += interval_s
+        urgent.record_arrival("desk", pools.step(gpus=1), 2, now)
+    free = {worker.name: worker.free for worker in workers}
+    urgent.reserve("desk", workers, free, 0.125, now)
+    return 32 - sum(resources.gpus for resources in free.values())
+
+
+def test_headroom_grows_with_the_rate_of_urgent_jobs() -> None:
+    """Guards against a preemption for each of several urgent jobs a second.
+
+    A preemption takes about a second.  With room for one job, all that came
+    within it stopped other work.
+    """
+    assert count_kept_gpus(5.0, 6) == 2
+    assert count_kept_gpus(0.4, 30) == 6
+    # An eighth of the pool's accelerators at most.
+    assert count_kept_gpus(0.05, 100) == 16
