Claims: a heartbeat between two look-ups does not hide that a replica is left

Cause: the claimer asks again if some replica of the key has stayed, and it compared Link objects, of which each heartbeat makes a new one. So whenever the other replica's heartbeat came while the claim was on its way, none seemed to have stayed. Change: replicas are the same if side and incarnation are (a side that has restarted has lost its claims, so it does not count). Evidence: the test with heartbeats in between fails before.

--- a/kingcuplever/request/key_claims.py
+++ b/kingcuplever/request/key_claims.py
@@ -98,12 +98,11 @@
             outcome = await self._claim_at_replicas(replicas, message)
             if outcome.status is not ClaimStatus.UNPROVABLE:
                 break
-            current_replicas = self._sides.find_claim_replicas(
-                key, _CLAIM_REPLICAS
+            asked = _identify(replicas)
+            current = _identify(
+                self._sides.find_claim_replicas(key, _CLAIM_REPLICAS)
             )
-            if current_replicas == replicas or not set(current_replicas) & set(
-                replicas
-            ):
+            if current == asked or not current & asked:
                 # Another lookup does not help: a connected replica does not
                 # answer, or none is left that may store an earlier claim.
                 break
@@ -143,6 +142,14 @@
         )
 
 
+def _identify(replicas: list[members.Link]) -> set[tuple[str, int]]:
+    """Return the sides with their incarnations.
+
+    A link is replaced with each heartbeat; the claims are still there.
+    """
+    return {(link.side, link.incarnation) for link in replicas}
+
+
 async def _claim_at_replica(
     link: members.Link, message: messages.Claim
 ) -> messages.ClaimReply | ClaimOutcome:
--- a/tests/test_key_model.py
+++ b/tests/test_key_model.py
@@ -5,7 +5,9 @@
 In whatever order the dispatches arrive, the key runs at most once.
 """
 
+from collections.abc import Callable
 import contextlib
+import functools
 import random
 
 from kingcuplever.connection import peer as peers
@@ -197,12 +199,18 @@
 
 
 # Guards against a key told as unknown since a claim replica that drains
-# closed its connection with the claim on its way: the others can tell.
-def test_claim_goes_to_other_replicas_once_one_has_left() -> None:
+# closed its connection with the claim on its way: the others can tell, also
+# if a heartbeat of theirs came meanwhile.
+@pytest.mark.parametrize("beats", [False, True])
+def test_claim_goes_to_other_replicas_once_one_has_left(beats: bool) -> None:
+    heartbeats: list[Callable[[], object]] = []
+
     async def grant(
         peer: peers.PeerConnection, message: messages.Message
     ) -> messages.Message:
         assert isinstance(message, messages.Claim)
+        for send_heartbeat in heartbeats if beats else ():
+            send_heartbeat()
         return messages.ClaimReply(
             True, message.runner, message.incarnation, 1
         )
@@ -214,9 +222,11 @@
                 near, far = trio.testing.memory_stream_pair()
                 await stack.enter_async_context(peers.run_peer(far, grant))
                 peer = await stack.enter_async_context(peers.run_peer(near))
-                sides.record_heartbeat(
-                    peer, messages.Heartbeat(name, 1, 1, "here", (), 0), 0.0
+                beat = messages.Heartbeat(name, 1, 1, "here", (), 0)
+                heartbeats.append(
+                    functools.partial(sides.record_heartbeat, peer, beat, 0.0)
                 )
+                heartbeats[-1]()
             leaving = peers.PeerConnection(
                 _HalfClosedStream(), peers.reject_requests
             )
