Test of a cancelled slot: its order no longer depends on the event loop

The test was at fault, not the router (trace: cancelled_caught False). Change: the request is cancelled while the router does not run yet, so that its assignment surely comes after.

--- a/tests/test_request_decisions.py
+++ b/tests/test_request_decisions.py
@@ -306,23 +306,26 @@
     assert row["busy"] == 1
 
 
-# Guards against a slot that stays taken: the request is cancelled after it
-# was assigned, and before it heard of that.
+# Guards against a slot that stays taken: the request is cancelled before it
+# hears of its assignment.  The router runs only then, so that the order does
+# not depend on the event loop.
 def test_slot_of_a_request_cancelled_meanwhile_is_free_again() -> None:
     async def main() -> None:
         task = router_task.RouterTask("here")
+        side = FakeSide("s", slots=1)
+        await task.apply_heartbeat(side.make_heartbeat())
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(task.run)
-            await task.apply_heartbeat(FakeSide("s", slots=1).make_heartbeat())
-            await trio.testing.wait_all_tasks_blocked()
-            with trio.CancelScope() as scope:
-                # Takes effect at the wait for the answer, not at the request.
-                trio.lowlevel.current_trio_token().run_sync_soon(scope.cancel)
-                await task.acquire(
-                    "desk", "normal", trio.current_time() + 1.0, frozenset()
-                )
-            assert scope.cancelled_caught
+            nursery.start_soon(
+                task.acquire,
+                "desk",
+                "normal",
+                trio.current_time() + 60.0,
+                frozenset(),
+            )
             await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(task.run)
             (row,) = await task.describe()
             assert row["busy"] == 0
             nursery.cancel_scope.cancel()
