Side links: a late report of a former connection replaces nothing

What callers saw: a task run twice at a time (TWICE), and a worker given more than it has room for (LIMIT). Cause: the owner took whatever connection reported last for a side's newest, and a worker that it did not know for the successor of the one that it knew. A report that a cut held up on the former connection, sent before the worker crashed and came back as i-2, so removed i-2 with all its runs: they were started elsewhere, and at i-2's next report all its room counted as free. Ruled out: numbering reports by a clock of the side (wall clocks jump, the boot clock starts anew with the host); remembering ended incarnations (a new owner has not heard of them). Change: the first report on a connection is answered and not applied. The next one shows that the side received the reply, so the connection is in use; it takes over only from a connection whose first report came earlier. The side sends its first report twice.

--- a/kingcuplever/process/agent/owner_link.py
+++ b/kingcuplever/process/agent/owner_link.py
@@ -125,15 +125,17 @@
     ) -> None:
         text = f"Connected to {owner.entry}, epoch {owner.epoch}."
         logs.info(logs.Component.OWNER, text)
+        is_first = True
         while True:
             changed = self._agent.changed
             rows = self._agent.make_reports()
+            if rows and is_first:
+                # The owner applies no report before the side has shown, by
+                # the next one, that it received a reply on this connection.
+                await _send_report(peer, rows[0])
+                is_first = False
             for row in rows:
-                reply = await peer.call(row, _REPLY_TIMEOUT_S)
-                if not isinstance(reply, messages.WorkerReply):
-                    raise errors.InvalidRequest(
-                        "The owner sent no reply to a report."
-                    )
+                reply = await _send_report(peer, row)
                 self._agent.mark_reported(row)
                 self._agent.record_owner_contact(reply.epoch)
             if not rows:
@@ -154,6 +156,16 @@
         return messages.OrdersTaken(message.number)
 
 
+async def _send_report(
+    peer: peers.PeerConnection, row: messages.WorkerReport
+) -> messages.WorkerReply:
+    """Send a report and return the owner's reply."""
+    reply = await peer.call(row, _REPLY_TIMEOUT_S)
+    if not isinstance(reply, messages.WorkerReply):
+        raise errors.InvalidRequest("The owner sent no reply to a report.")
+    return reply
+
+
 async def _cancel_on_event(event: trio.Event, nursery: trio.Nursery) -> None:
     await event.wait()
     nursery.cancel_scope.cancel()
--- a/kingcuplever/process/owner/job_owner.py
+++ b/kingcuplever/process/owner/job_owner.py
@@ -96,7 +96,7 @@
         self._round_orders: dict[int, maintenance_rounds.RoundOrder] = {}
         self._policy = model.Policy(0, {}, {})
         self._links = side_links.SideLinks(
-            self._apply_report, self._on_side_lost
+            self._get_owned_epoch, self._apply_report, self._on_side_lost
         )
         self._term: owner_term.OwnerTerm | None = None
         self._resigned = False
@@ -373,8 +373,8 @@
             logs.warn(logs.Component.OWNER, f"Epoch {term.epoch} is lost.")
             await self._links.close_all()
 
-    def _apply_report(self, status: fleet.WorkerStatus) -> int:
-        """Apply a worker's status in the current term; return its epoch.
+    def _get_term(self) -> owner_term.OwnerTerm:
+        """Return the current term.
 
         :raises errors.KingcupleverError: ``FENCED`` if this entry does not
             own.
@@ -383,7 +383,15 @@
             raise errors.KingcupleverError(
                 f"Entry {self._name} is not the owner.", errors.Code.FENCED
             )
-        return self._term.apply_report(status)
+        return self._term
+
+    def _get_owned_epoch(self) -> int:
+        """Return the epoch of the current term."""
+        return self._get_term().epoch
+
+    def _apply_report(self, status: fleet.WorkerStatus) -> int:
+        """Apply a worker's status in the current term; return its epoch."""
+        return self._get_term().apply_report(status)
 
     def _on_side_lost(self, side: str) -> None:
         if self._term is not None:
--- a/kingcuplever/process/owner/side_links.py
+++ b/kingcuplever/process/owner/side_links.py
@@ -1,6 +1,13 @@
-"""Connections from sides to this entry while it is the owner."""
+"""Connections from sides to this entry while it is the owner.
+
+A side uses one connection at a time, but a partition may hold up what it sent
+on a former one until it has reported on the current one.  Only a connection
+on which the side has received a reply is known to be in use, so the first
+report on each connection is answered without being applied.
+"""
 
 from collections.abc import Callable
+import itertools
 
 from kingcuplever.connection import peer as peers
 from kingcuplever import errors
@@ -16,20 +23,30 @@
 
 
 class SideLinks:
-    """The newest connection of each side."""
-
-    def __init__(self, on_report: ReportHandler, on_lost: LostHandler) -> None:
+    """The current connection of each side."""
+
+    def __init__(
+        self,
+        get_epoch: Callable[[], int],
+        on_report: ReportHandler,
+        on_lost: LostHandler,
+    ) -> None:
         """Start without connections.
 
-        :param on_report: applies a worker's status and returns the epoch; it
-            raises :class:`errors.KingcupleverError` if this entry does not
-            own.
+        :param get_epoch: returns the epoch that this entry owns; it raises
+            :class:`errors.KingcupleverError` if it owns none.
+        :param on_report: applies a worker's status and returns the epoch,
+            or raises as ``get_epoch`` does.
         :param on_lost: called with the name of each side that has lost its
             connection.
         """
+        self._get_epoch = get_epoch
         self._on_report = on_report
         self._on_lost = on_lost
         self._links: dict[str, peers.PeerConnection] = {}
+        # Numbers the connections in the order of their first reports.
+        self._next_number = itertools.count()
+        self._numbers: dict[peers.PeerConnection, int] = {}
 
     def is_linked(self, side: str) -> bool:
         """Return whether a side has a connection."""
@@ -37,6 +54,7 @@
 
     def remove_link(self, peer: peers.PeerConnection) -> None:
         """Remove an ended connection and report the sides that used it."""
+        self._numbers.pop(peer, None)
         for side in [s for s, p in self._links.items() if p is peer]:
             del self._links[side]
             logs.warn(logs.Component.MEMBER, f"Side {side} has disconnected.")
@@ -61,9 +79,19 @@
     async def handle_report(
         self, peer: peers.PeerConnection, message: messages.WorkerReport
     ) -> messages.WorkerReply:
-        """Apply a side's report, and make its connection the side's newest."""
-        epoch = self._on_report(_make_status(message))
+        """Reply to a side's report, and apply it unless it is the first.
+
+        :raises errors.KingcupleverError: ``FENCED`` if the side has a newer
+            connection or this entry does not own.
+        """
+        if peer not in self._numbers:
+            reply = messages.WorkerReply(self._get_epoch())
+            self._numbers[peer] = next(self._next_number)
+            return reply
         previous = self._links.get(message.side)
+        if previous is not peer:
+            self._check_is_newer(peer, previous, message.side)
+        epoch = self._on_report(_make_status(message))
         if previous is not peer:
             self._links[message.side] = peer
             logs.info(
@@ -73,6 +101,24 @@
                 await previous.close()
         return messages.WorkerReply(epoch)
 
+    def _check_is_newer(
+        self,
+        peer: peers.PeerConnection,
+        current: peers.PeerConnection | None,
+        side: str,
+    ) -> None:
+        """Check that a connection is newer than a side's current one."""
+        number = -1 if current is None else self._numbers[current]
+        if self._numbers[peer] < number:
+            text = (
+                f"Side {side} has a newer connection; a late report ignored."
+            )
+            logs.warn(logs.Component.MEMBER, text)
+            raise errors.KingcupleverError(
+                f"Side {side} has a newer connection; use that one.",
+                errors.Code.FENCED,
+            )
+
 
 def _make_status(report: messages.WorkerReport) -> fleet.WorkerStatus:
     return fleet.WorkerStatus(
