--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -622,7 +622,9 @@
         self._table.listener = self
         self._offset = 0
         self._links = side_links.SideLinks(
-            self._apply_report, self._on_side_lost
+            lambda: self._get_term().epoch,
+            self._apply_report,
+            self._on_side_lost,
         )
         world.network.listen(self.port, self.name, self._accept)
         self.process.spawn(self._follow_log)
@@ -658,12 +660,15 @@
         assert isinstance(message, messages.WorkerReport)
         return await self._links.handle_report(peer, message)
 
-    def _apply_report(self, status: fleet.WorkerStatus) -> int:
+    def _get_term(self) -> owner_term.OwnerTerm:
         if self.term is None:
             raise errors.KingcupleverError(
                 f"{self.name} is not the owner.", errors.Code.FENCED
             )
-        return self.term.apply_report(status)
+        return self.term
+
+    def _apply_report(self, status: fleet.WorkerStatus) -> int:
+        return self._get_term().apply_report(status)
 
     def _on_side_lost(self, side: str) -> None:
         if self.term is not None:
