Orders: a refused start is always stopped first

What callers saw: a task run twice at a time. Cause: doubt whether an earlier try of a start is still on its way was kept by the task that repeats it, so a side that restarted knew of none. The worker's "unhealthy" to the next try counted as final, the owner started the task elsewhere, and the first try was carried out late. Ruled out: keeping the doubt on the log (an append for each start).

--- a/kingcuplever/process/agent/order_reconciler.py
+++ b/kingcuplever/process/agent/order_reconciler.py
@@ -150,15 +150,12 @@
     async def _start_until_known(
         self, incarnation: str, order: fleet.StartOrder, run: fleet.RunId
     ) -> None:
-        in_doubt = False
         while run in self._wanted_starts and not self._state.has_run(run):
             if not (self._state.clock.is_known and self._state.may_act):
                 await trio.sleep(_RETRY_S)
                 continue
             if self._state.is_draining:
-                await self._refuse_unless_listed(
-                    incarnation, run, "draining", True
-                )
+                await self._refuse_unless_listed(incarnation, run, "draining")
                 return
             now = trio.current_time()
             lease_end_ms = self._state.clock.compute_lease_end_ms(
@@ -171,7 +168,6 @@
             except errors.ExecutorReplaced:
                 return
             except errors.PlatformFailed as error:
-                in_doubt = in_doubt or error.sent
                 text = f"Start of {run.task} run {run.run}: {error.detail}"
                 logs.warn(logs.Component.TASK, text)
                 await trio.sleep(_RETRY_S)
@@ -187,17 +183,13 @@
                 await trio.sleep(_RETRY_S)
                 continue
             if answer.reason == "old":
-                await self._refuse_unless_listed(
-                    incarnation, run, "old", False
-                )
+                await self._refuse_unless_listed(incarnation, run, "old")
             else:
-                await self._report_refusal(
-                    incarnation, run, answer.reason, in_doubt
-                )
+                await self._report_refusal(incarnation, run, answer.reason)
             return
 
     async def _refuse_unless_listed(
-        self, incarnation: str, run: fleet.RunId, reason: str, in_doubt: bool
+        self, incarnation: str, run: fleet.RunId, reason: str
     ) -> None:
         """Refuse a start unless an earlier attempt has taken effect.
 
@@ -210,17 +202,16 @@
         ):
             await trio.sleep(_RETRY_S)
         if not self._state.has_run(run):
-            await self._report_refusal(incarnation, run, reason, in_doubt)
+            await self._report_refusal(incarnation, run, reason)
 
     async def _report_refusal(
-        self, incarnation: str, run: fleet.RunId, reason: str, in_doubt: bool
+        self, incarnation: str, run: fleet.RunId, reason: str
     ) -> None:
         """Report a run as refused, once it can't start any more."""
-        if in_doubt:
-            # A start without an answer may still take effect; the stop
-            # prevents that.
-            await self._stop_until_answered(incarnation, run)
-        self._record_refusal(incarnation, run, reason)
+        # An earlier start, perhaps of this side's former process, may still
+        # take effect; the stop prevents that.
+        if await self._stop_until_answered(incarnation, run):
+            self._record_refusal(incarnation, run, reason)
 
     def _record_refusal(
         self, incarnation: str, run: fleet.RunId, reason: str
