Side: the owner's permission counts from the report that it answered

What callers saw: a task run twice at a time; its former worker went on renewing the lease after the owner had given it up. Cause: a side took for contact what had just arrived, however old it was: orders that waited in the socket of a side that stood still or behind a cut, the reply to a report read after a suspension, and even a connection that a standing owner's kernel accepted. The owner counts from the last report that it received. Ruled out: a larger margin (a cut holds messages for any time). Change: contact counts from the sending of the report that was answered, on both clocks (clock.Moment). Orders, and a new connection, tell the epoch only.

--- a/kingcuplever/process/agent/owner_link.py
+++ b/kingcuplever/process/agent/owner_link.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from kingcuplever import clock
 from kingcuplever.connection import keyed_log
 from kingcuplever.connection import peer as peers
 from kingcuplever import errors
@@ -135,12 +136,15 @@
                 await _send_report(peer, rows[0])
                 is_first = False
             for row in rows:
+                # The owner waits for the next report from when it received
+                # this one, so it is not the reply's arrival that counts.
+                sent_at = clock.read_moment()
                 reply = await _send_report(peer, row)
                 self._agent.mark_reported(row)
-                self._agent.record_owner_contact(reply.epoch)
+                self._agent.record_owner_contact(reply.epoch, sent_at)
             if not rows:
                 # Orders and the first poll of the worker need an epoch.
-                self._agent.record_owner_contact(owner.epoch)
+                self._agent.record_epoch(owner.epoch)
             with trio.move_on_after(_REPORT_PERIOD_S):
                 await changed.wait()
 
--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from kingcuplever import clock
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
@@ -98,9 +99,20 @@
         ):
             self._end_incarnation(current, "it deregistered")
 
-    def record_owner_contact(self, epoch: int) -> None:
-        """Record that the owner of an epoch has answered."""
-        self._state.record_owner_contact(epoch)
+    def record_epoch(self, epoch: int) -> None:
+        """Record the epoch of an owner, which permits no starts or renewals.
+
+        The worker's tasks can be listed from then on.
+        """
+        self._state.record_epoch(epoch)
+
+    def record_owner_contact(self, epoch: int, moment: clock.Moment) -> None:
+        """Record that the owner of an epoch has answered a report.
+
+        :param moment: latest moment at which the owner is known to have
+            waited for this side's reports.
+        """
+        self._state.record_owner_contact(epoch, moment)
 
     def apply_orders(self, orders: messages.WorkerOrders) -> bool:
         """Apply the owner's orders; return false if their epoch is stale."""
@@ -109,7 +121,7 @@
         current = self._state.incarnations.current
         if current is None or orders.worker != self._make_worker_name(current):
             return True
-        self.record_owner_contact(orders.epoch)
+        self.record_epoch(orders.epoch)
         assert self._nursery is not None
         self._orders.apply_orders(orders, self._nursery)
         return True
--- a/kingcuplever/process/agent/worker_state.py
+++ b/kingcuplever/process/agent/worker_state.py
@@ -1,7 +1,5 @@
 """The latest state that a side knows of the worker beside it."""
 
-import trio
-
 from kingcuplever import clock
 from kingcuplever.process.agent import executor as executors
 from kingcuplever.process.agent import worker_incarnations
@@ -24,8 +22,7 @@
             to an owner.
         """
         self._autonomous_renewal_s = autonomous_renewal_s
-        self._owner_contact_at = float("-inf")
-        self._owner_contact_boot_s = float("-inf")
+        self._owner_contact = clock.NEVER
         self.incarnations = worker_incarnations.IncarnationTracker()
         self.clock = leases.WorkerClock()
         self.epoch = 0
@@ -46,26 +43,26 @@
 
     @property
     def owner_silence_s(self) -> float:
-        """Seconds since the last contact to an owner.
-
-        Those count in which this process was suspended.
-        """
-        return max(
-            trio.current_time() - self._owner_contact_at,
-            clock.boot_s() - self._owner_contact_boot_s,
-        )
+        """Seconds since the last contact to an owner."""
+        return self._owner_contact.elapsed_s()
 
     @property
     def may_act(self) -> bool:
         """Whether the last contact to an owner permits starts and renewals."""
         return leases.can_act(self.owner_silence_s, self._autonomous_renewal_s)
 
-    def record_owner_contact(self, epoch: int) -> None:
-        """Record a contact to the owner of an epoch; ignore older ones."""
+    def record_epoch(self, epoch: int) -> None:
+        """Record the epoch of an owner; ignore older ones."""
+        self.epoch = max(self.epoch, epoch)
+
+    def record_owner_contact(self, epoch: int, moment: clock.Moment) -> None:
+        """Record that the owner of an epoch was in contact at a moment.
+
+        A contact with the owner of an older epoch is ignored.
+        """
         if epoch >= self.epoch:
             self.epoch = epoch
-            self._owner_contact_at = trio.current_time()
-            self._owner_contact_boot_s = clock.boot_s()
+            self._owner_contact = max(self._owner_contact, moment)
 
     def reset(self) -> None:
         """Drop the task list and clock of the previous incarnation."""
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -188,7 +188,7 @@
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(agent.run)
-            agent.record_owner_contact(1)
+            agent.record_owner_contact(1, clock.read_moment())
             agent.register(make_registration())
             await trio.sleep(0.5)
             await scenario(agent, fake)
@@ -219,7 +219,7 @@
     # orders, which are numbered from 1 again, for old ones.
     agent.apply_orders(make_orders(7, 1))
     await trio.sleep(1.5)
-    agent.record_owner_contact(2)
+    agent.record_owner_contact(2, clock.read_moment())
     assert agent.apply_orders(make_orders(1, stops=(1,), epoch=2))
     await trio.sleep(1.5)
     assert not fake.running
@@ -229,7 +229,7 @@
 async def test_orders_of_a_former_owner_are_rejected(
     agent: worker_agent.WorkerAgent, fake: FakeExecutor
 ) -> None:
-    agent.record_owner_contact(2)
+    agent.record_owner_contact(2, clock.read_moment())
     assert not agent.apply_orders(make_orders(9, 1, epoch=1))
     await trio.sleep(1.0)
     assert not fake.calls
@@ -456,7 +456,7 @@
     await trio.sleep(10.0)
     assert not fake.running
     # The owner is back, and still orders it.
-    agent.record_owner_contact(1)
+    agent.record_owner_contact(1, clock.read_moment())
     await trio.sleep(1.0)
     assert len(fake.running) == 1
 
@@ -483,7 +483,7 @@
         await trio.sleep(3.0)
         assert not fake.running
         assert fake.lease_end_ms == lease_end_ms
-        agent.record_owner_contact(1)
+        agent.record_owner_contact(1, clock.read_moment())
         await trio.sleep(1.5)
         assert len(fake.running) == 1
         assert fake.lease_end_ms > lease_end_ms
