Leases: the owner waits out calls that a worker carries out late

What callers saw: a task run twice at a time. Cause: an executor may carry out a call that it did not answer up to 12 s later, and count the call's lease from then. The owner waited for the side's renewals (12 s), the longest lease and a margin, 23.7 s with leases of 10 s, so the last renewal, or a start, could still begin or go on after that. Change: the bound has that delay as a term; a side renews alone for 16 s less the lease, so that a task keeps its lease for 16 s without an owner (12 s and a lease before). 29.2 s with leases of 10 s (23.7), 29.1 with 6 (19.6). The delay is the platform's, for a fleet of our own settings it is timing.late_call_ms (0). alone_ms is 2 s at least: contact counts from a report's sending, and reports come once a second.

--- a/kingcuplever/options.py
+++ b/kingcuplever/options.py
@@ -37,6 +37,8 @@
     :ivar task_lease_ms: lease that a side requests for each task; the worker
         ends a task whose lease was not renewed for this long.
     :ivar alone_ms: how long a side renews leases without contact to an owner.
+    :ivar late_call_ms: how late a worker may carry out a call that it did
+        not answer, if it counts the call's lease from then.
     :ivar status_ms: how long the status of an ended job is retained.
     :ivar key_horizon_ms: how long idempotency keys are retained.
     :ivar drain_ms: how long a stopping process waits for its requests.
@@ -46,6 +48,7 @@
     silence_ms: int = 3500
     task_lease_ms: int = 6000
     alone_ms: int = 4000
+    late_call_ms: int = 0
     status_ms: int = 3_600_000
     key_horizon_ms: int = 600_000
     drain_ms: int = 15_000
@@ -193,12 +196,25 @@
     return faults
 
 
+_MAY_BE_ZERO: Final = ("late_call_ms",)
+_MIN_ALONE_MS: Final = 2000
+
+
 def _check_timing(timing: TimingOptions) -> list[plain.Fault]:
     faults = [
         plain.Fault(f"timing.{name}", repr(value), "more than 0")
         for name, value in timing._asdict().items()
-        if value <= 0
+        if value <= 0 and name not in _MAY_BE_ZERO
+    ]
+    faults += [
+        plain.Fault(f"timing.{name}", repr(getattr(timing, name)), "0 or more")
+        for name in _MAY_BE_ZERO
+        if getattr(timing, name) < 0
     ]
+    if timing.alone_ms < _MIN_ALONE_MS:
+        allowed = f"at least {_MIN_ALONE_MS}, two periods of a side's reports"
+        value = repr(timing.alone_ms)
+        faults.append(plain.Fault("timing.alone_ms", value, allowed))
     if timing.silence_ms < 2 * timing.heartbeat_ms:
         allowed = "at least twice timing.heartbeat_ms"
         value = repr(timing.silence_ms)
--- a/kingcuplever/platform/entry_role.py
+++ b/kingcuplever/platform/entry_role.py
@@ -84,13 +84,13 @@
     metrics = job_metrics.JobMetrics()
     async with contextlib.AsyncExitStack() as stack:
         client = await stack.enter_async_context(
-            http_client.HttpClient(host.log, leases.AUTONOMOUS_RENEWAL_S)
+            http_client.HttpClient(host.log, roles.CALL_TIMEOUT_S)
         )
         advice_client = await stack.enter_async_context(
-            http_client.HttpClient(host.adviser, leases.AUTONOMOUS_RENEWAL_S)
+            http_client.HttpClient(host.adviser, roles.CALL_TIMEOUT_S)
         )
         hosts_client = await stack.enter_async_context(
-            http_client.HttpClient(host.hosts, leases.AUTONOMOUS_RENEWAL_S)
+            http_client.HttpClient(host.hosts, roles.CALL_TIMEOUT_S)
         )
         log = store.Store(client)
         table = job_table.JobTable()
@@ -113,8 +113,13 @@
         )
         relay_handler = entry_relay.RelayHandler(appender, api)
         job_handler = job_http.JobHttpHandler(api, metrics)
+        lease_s = host.lease_ms / 1000
         timing = schedulers.Timing(
-            leases.compute_side_timeout_s(host.lease_ms / 1000),
+            leases.compute_side_timeout_s(
+                lease_s,
+                leases.compute_autonomous_renewal_s(lease_s),
+                roles.MAX_EXECUTOR_CALL_DELAY_S,
+            ),
             host.ended_job_retention_s,
             host.host_downtime_s,
         )
--- a/kingcuplever/platform/roles.py
+++ b/kingcuplever/platform/roles.py
@@ -4,6 +4,8 @@
 uses: memory is priced for each machine.
 """
 
+from typing import Final
+
 import trio
 
 from kingcuplever.connection import http_server
@@ -12,6 +14,12 @@
 from kingcuplever.platform import settings
 from kingcuplever.process import job_metrics
 
+# Timeout of calls to the platform that have none of their own.
+CALL_TIMEOUT_S: Final = 12.0
+# An executor may carry out a call that it did not answer so much later, and
+# count the call's lease from then.
+MAX_EXECUTOR_CALL_DELAY_S: Final = 12.0
+
 
 def reload_settings() -> None:
     """Check the settings file again; a running process applies no changes."""
--- a/kingcuplever/platform/side_role.py
+++ b/kingcuplever/platform/side_role.py
@@ -15,7 +15,6 @@
 from kingcuplever.process.agent import owner_link
 from kingcuplever.process.agent import worker_agent
 from kingcuplever.process import job_metrics
-from kingcuplever.process import leases
 from kingcuplever.process import signals
 from kingcuplever.process.stored import owner_announcements
 from kingcuplever.process.stored import topic_follower
@@ -26,10 +25,10 @@
     metrics = job_metrics.JobMetrics()
     async with contextlib.AsyncExitStack() as stack:
         log_client = await stack.enter_async_context(
-            http_client.HttpClient(host.log, leases.AUTONOMOUS_RENEWAL_S)
+            http_client.HttpClient(host.log, roles.CALL_TIMEOUT_S)
         )
         worker_client = await stack.enter_async_context(
-            http_client.HttpClient(host.worker, leases.AUTONOMOUS_RENEWAL_S)
+            http_client.HttpClient(host.worker, roles.CALL_TIMEOUT_S)
         )
         agent = worker_agent.WorkerAgent(
             host.name,
--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -42,14 +42,18 @@
         worker: executors.Executor,
         lease_ms: int,
         metrics: job_metrics.JobMetrics,
-        autonomous_renewal_s: float = leases.AUTONOMOUS_RENEWAL_S,
+        autonomous_renewal_s: float | None = None,
     ) -> None:
         """Start without a worker; it has to register first.
 
         :param lease_ms: longest lease that the worker grants.
         :param autonomous_renewal_s: how long leases are renewed without
-            contact to an owner.
+            contact to an owner; derived from the lease if absent.
         """
+        if autonomous_renewal_s is None:
+            autonomous_renewal_s = leases.compute_autonomous_renewal_s(
+                lease_ms / 1000
+            )
         self.changed = trio.Event()
         self._side = side
         self._worker = worker
--- a/kingcuplever/process/entry.py
+++ b/kingcuplever/process/entry.py
@@ -88,7 +88,9 @@
             self._table,
             schedulers.Timing(
                 leases.compute_side_timeout_s(
-                    timing.task_lease_ms / 1000, timing.alone_ms / 1000
+                    timing.task_lease_ms / 1000,
+                    timing.alone_ms / 1000,
+                    timing.late_call_ms / 1000,
                 ),
                 timing.status_ms / 1000,
             ),
--- a/kingcuplever/process/leases.py
+++ b/kingcuplever/process/leases.py
@@ -2,24 +2,36 @@
 
 Without contact to an owner, a side keeps renewing for a bounded time: a task
 whose lease expires has to run again, while one that keeps running loses
-nothing.  The owner waits for that bound before it starts the same task on
-another worker.
+nothing.  The owner waits until the last lease has surely expired before it
+starts the same task on another worker.  docs/DESIGN.md has the inequality.
 """
 
 from typing import Final
 
-# How long a side renews leases without contact to an owner.  Longer than an
+# How long a task keeps its lease without contact to an owner.  Longer than an
 # owner takeover and most partitions; short enough that the work of a lost
 # host restarts within its objective.
-AUTONOMOUS_RENEWAL_S: Final = 12.0
+_LEASE_HORIZON_S: Final = 16.0
+# Covers the time between two reports and a lost one, if leases are long.
+_MIN_AUTONOMOUS_RENEWAL_S: Final = 4.0
 # A worker's clock may run slower than ours by up to this factor.
 _MAX_CLOCK_DRIFT: Final = 1.02
-# Allows for reports and renewals that are in flight.
-_IN_FLIGHT_MARGIN_S: Final = 1.5
+# Allows for different rates of the clocks of two hosts.
+_CLOCK_MARGIN_S: Final = 1.0
 # Upper bound of the time between two renewals.
 _RENEWAL_PERIOD_S: Final = 1.0
 
 
+def compute_autonomous_renewal_s(lease_s: float) -> float:
+    """Return how long a side renews leases without contact to an owner.
+
+    The result is in seconds.
+
+    :param lease_s: longest lease that the worker grants, in seconds.
+    """
+    return max(_MIN_AUTONOMOUS_RENEWAL_S, _LEASE_HORIZON_S - lease_s)
+
+
 def can_act(owner_silence_s: float, autonomous_renewal_s: float) -> bool:
     """Return whether a side may renew leases and start tasks.
 
@@ -29,7 +41,7 @@
 
 
 def compute_side_timeout_s(
-    lease_s: float, autonomous_renewal_s: float = AUTONOMOUS_RENEWAL_S
+    lease_s: float, autonomous_renewal_s: float, late_call_s: float
 ) -> float:
     """Return the silence of a side after which its leases have expired.
 
@@ -37,20 +49,32 @@
 
     :param lease_s: longest lease that the worker grants, in seconds.
     :param autonomous_renewal_s: how long sides renew without an owner.
+    :param late_call_s: how late a worker may carry out a call without an
+        answer, if the call's lease counts from then.
     """
     return (
-        autonomous_renewal_s + lease_s * _MAX_CLOCK_DRIFT + _IN_FLIGHT_MARGIN_S
+        autonomous_renewal_s
+        + late_call_s
+        + lease_s * _MAX_CLOCK_DRIFT
+        + _CLOCK_MARGIN_S
     )
 
 
-def compute_partial_gang_bound_s(autonomous_renewal_s: float) -> float:
+def compute_partial_gang_bound_s(
+    autonomous_renewal_s: float, late_call_s: float
+) -> float:
     """Return how long part of a gang can run without the rest, in seconds.
 
     If a side ends, its member of the gang stops when the lease expires.  The
     other members stop once the owner counts that side as lost.  The result
     includes one renewal period, as the last renewal may be that old.
     """
-    return autonomous_renewal_s + _IN_FLIGHT_MARGIN_S + _RENEWAL_PERIOD_S
+    return (
+        autonomous_renewal_s
+        + late_call_s
+        + _CLOCK_MARGIN_S
+        + _RENEWAL_PERIOD_S
+    )
 
 
 class WorkerClock:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -15,7 +15,7 @@
     "heartbeat_ms": 150,
     "silence_ms": 900,
     "task_lease_ms": 2000,
-    "alone_ms": 1000,
+    "alone_ms": 2000,
     "status_ms": 600_000,
     "key_horizon_ms": 60_000,
     "drain_ms": 10_000,
--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -37,6 +37,8 @@
 from tests import side_hosts
 
 LEASE_MS: Final = 6000
+# How late a call without an answer may be carried out.
+LATE_CALL_S: Final = 12.0
 LOG: Final = "log"
 _FIRST_PORT: Final = 7000
 # Longest time until a worker's answer counts as lost, besides its wait.
@@ -802,7 +804,10 @@
 
     def make_scheduler(self, epoch: int) -> schedulers.Scheduler:
         """Create the scheduler of an owner's term."""
-        lost_after_s = leases.compute_side_timeout_s(LEASE_MS / 1000)
+        lease_s = LEASE_MS / 1000
+        lost_after_s = leases.compute_side_timeout_s(
+            lease_s, leases.compute_autonomous_renewal_s(lease_s), LATE_CALL_S
+        )
         timing = schedulers.Timing(lost_after_s, 1e6)
         scheduler = CheckedScheduler(self, timing, epoch)
         queues = {queue.name: queue for queue in (pools.NORMAL, pools.BATCH)}
--- a/tests/test_scheduling_failures.py
+++ b/tests/test_scheduling_failures.py
@@ -34,8 +34,10 @@
 
     :param tasks_of: number of tasks of each job.
     """
-    alone_s = fleet.options.timing.alone_ms / 1000
-    bound_s = leases.compute_partial_gang_bound_s(alone_s) + 1.0
+    timing = fleet.options.timing
+    bound_s = 1.0 + leases.compute_partial_gang_bound_s(
+        timing.alone_ms / 1000, timing.late_call_ms / 1000
+    )
     runs: dict[tuple[str, int], list[dict[str, Any]]] = {}
     for task in fleet.list_task_runs():
         run = (task["id"].rpartition(".")[0], task["run"])
@@ -200,7 +202,9 @@
     fleet.pause(victim)
     timing = fleet.options.timing
     timeout_s = leases.compute_side_timeout_s(
-        timing.task_lease_ms / 1000, timing.alone_ms / 1000
+        timing.task_lease_ms / 1000,
+        timing.alone_ms / 1000,
+        timing.late_call_ms / 1000,
     )
     time.sleep(timeout_s + 1.0)
     fleet.resume(victim)
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -20,6 +20,7 @@
 
 TASK = "5c0e7a21d94b36f8.0.0.0"
 LEASE_MS = 6000
+AUTONOMOUS_RENEWAL_S = leases.compute_autonomous_renewal_s(LEASE_MS / 1000)
 
 
 class FakeExecutor:
@@ -405,8 +406,8 @@
 ) -> None:
     await trio.sleep(60.0)
     renewed_s = (fake.lease_end_ms - LEASE_MS) / 1000
-    assert leases.AUTONOMOUS_RENEWAL_S - 2 < renewed_s
-    assert renewed_s < leases.AUTONOMOUS_RENEWAL_S + 1
+    assert AUTONOMOUS_RENEWAL_S - 2 < renewed_s
+    assert renewed_s < AUTONOMOUS_RENEWAL_S + 1
 
 
 # Guards against a run that its owner takes as refused by an incarnation that
@@ -451,7 +452,7 @@
 ) -> None:
     fake.unanswered_starts = 10_000
     agent.apply_orders(make_orders(1, 1))
-    await trio.sleep(leases.AUTONOMOUS_RENEWAL_S + 1.0)
+    await trio.sleep(AUTONOMOUS_RENEWAL_S + 1.0)
     fake.unanswered_starts = 0
     await trio.sleep(10.0)
     assert not fake.running
