Owner: its permission is as old as the log's last confirmation

What callers saw: a task run twice at a time. Cause: an owner without the log went on answering reports, and each answer let the side renew, while its successor counted from its claim. A side that reaches neither the log nor the successor kept its leases for as long as both lived. Ruled out: an owner that stops after some time without the log (all work would end with each outage); asking the other entries (one may be out of reach). Change: a reply carries the age of the newest append that the log confirmed, by the time of its sending; the side counts its permission from then. Where the users run the log themselves, work goes on for timing.log_outage_ms (60 s) more under an owner without it; its successor waits so much longer for a worker that has not reported to it, and for no other.

--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -1228,11 +1228,12 @@
      - ended
      - refused
      - clock_ms
+     - orders
 
     """
 
 
-    def __init__(self, worker=None, side=None, data_centre=None, pool=None, cpu_milli=None, memory_mb=None, gpus=None, labels=None, draining=None, remaining_ms=None, gone=None, running=None, ended=None, refused=None, clock_ms=None,):
+    def __init__(self, worker=None, side=None, data_centre=None, pool=None, cpu_milli=None, memory_mb=None, gpus=None, labels=None, draining=None, remaining_ms=None, gone=None, running=None, ended=None, refused=None, clock_ms=None, orders=None,):
         self.worker = worker
         self.side = side
         self.data_centre = data_centre
@@ -1248,6 +1249,7 @@
         self.ended = ended
         self.refused = refused
         self.clock_ms = clock_ms
+        self.orders = orders
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1356,6 +1358,11 @@
                     self.clock_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.orders = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1438,6 +1445,10 @@
             oprot.writeFieldBegin('clock_ms', TType.I64, 15)
             oprot.writeI64(self.clock_ms)
             oprot.writeFieldEnd()
+        if self.orders is not None:
+            oprot.writeFieldBegin('orders', TType.I64, 16)
+            oprot.writeI64(self.orders)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1460,12 +1471,14 @@
     """
     Attributes:
      - epoch
+     - proof_age_ms
 
     """
 
 
-    def __init__(self, epoch=None,):
+    def __init__(self, epoch=None, proof_age_ms=None,):
         self.epoch = epoch
+        self.proof_age_ms = proof_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1481,6 +1494,11 @@
                     self.epoch = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.proof_age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1495,6 +1513,10 @@
             oprot.writeFieldBegin('epoch', TType.I64, 1)
             oprot.writeI64(self.epoch)
             oprot.writeFieldEnd()
+        if self.proof_age_ms is not None:
+            oprot.writeFieldBegin('proof_age_ms', TType.I64, 2)
+            oprot.writeI64(self.proof_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2993,11 +3015,13 @@
     (13, TType.LIST, 'ended', (TType.STRUCT, [EndedRow, None], False), None, ),  # 13
     (14, TType.LIST, 'refused', (TType.STRUCT, [RefusedRow, None], False), None, ),  # 14
     (15, TType.I64, 'clock_ms', None, None, ),  # 15
+    (16, TType.I64, 'orders', None, None, ),  # 16
 )
 all_structs.append(WorkerReply)
 WorkerReply.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'epoch', None, None, ),  # 1
+    (2, TType.I64, 'proof_age_ms', None, None, ),  # 2
 )
 all_structs.append(StartRow)
 StartRow.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -194,6 +194,8 @@
     :ivar remaining_ms: minimum time until a draining worker leaves.
     :ivar gone: whether the incarnation has ended, and all its tasks with it.
     :ivar clock_ms: the worker's own clock when it made these lists.
+    :ivar orders: number of the owner's orders that the side follows, 0 for
+        none; absent from older releases.
     """
 
     worker: str
@@ -211,12 +213,18 @@
     ended: tuple[EndedRow, ...]
     refused: tuple[RefusedRow, ...]
     clock_ms: int
+    orders: int | None = None
 
 
 class WorkerReply(NamedTuple):
-    """The owner's acknowledgement of a report."""
+    """The owner's acknowledgement of a report.
+
+    :ivar proof_age_ms: time since the log last confirmed the ownership;
+        absent from older releases.
+    """
 
     epoch: int
+    proof_age_ms: int | None = None
 
 
 class StartRow(NamedTuple):
--- a/kingcuplever/options.py
+++ b/kingcuplever/options.py
@@ -39,6 +39,9 @@
     :ivar alone_ms: how long a side renews leases without contact to an owner.
     :ivar late_call_ms: how late a worker may carry out a call that it did
         not answer, if it counts the call's lease from then.
+    :ivar log_outage_ms: how long tasks go on under an owner that the log does
+        not confirm; after a takeover, the work of a host that has not
+        reported is started elsewhere so much later.
     :ivar status_ms: how long the status of an ended job is retained.
     :ivar key_horizon_ms: how long idempotency keys are retained.
     :ivar drain_ms: how long a stopping process waits for its requests.
@@ -49,6 +52,7 @@
     task_lease_ms: int = 6000
     alone_ms: int = 4000
     late_call_ms: int = 0
+    log_outage_ms: int = 60_000
     status_ms: int = 3_600_000
     key_horizon_ms: int = 600_000
     drain_ms: int = 15_000
@@ -196,7 +200,7 @@
     return faults
 
 
-_MAY_BE_ZERO: Final = ("late_call_ms",)
+_MAY_BE_ZERO: Final = ("late_call_ms", "log_outage_ms")
 _MIN_ALONE_MS: Final = 2000
 
 
--- a/kingcuplever/process/agent/owner_link.py
+++ b/kingcuplever/process/agent/owner_link.py
@@ -137,11 +137,15 @@
                 is_first = False
             for row in rows:
                 # The owner waits for the next report from when it received
-                # this one, so it is not the reply's arrival that counts.
+                # this one, and a successor from its claim on the log; so it
+                # is neither the reply's arrival nor its sending that counts.
                 sent_at = clock.read_moment()
                 reply = await _send_report(peer, row)
                 self._agent.mark_reported(row)
-                self._agent.record_owner_contact(reply.epoch, sent_at)
+                age_s = (reply.proof_age_ms or 0) / 1000
+                self._agent.record_owner_contact(
+                    reply.epoch, sent_at.subtract(age_s)
+                )
             if not rows:
                 # Orders and the first poll of the worker need an epoch.
                 self._agent.record_epoch(owner.epoch)
--- a/kingcuplever/process/entry.py
+++ b/kingcuplever/process/entry.py
@@ -93,6 +93,7 @@
                     timing.late_call_ms / 1000,
                 ),
                 timing.status_ms / 1000,
+                log_outage_s=timing.log_outage_ms / 1000,
             ),
             job_measures,
             intents_callback=self._apply_intents,
--- a/kingcuplever/process/owner/job_owner.py
+++ b/kingcuplever/process/owner/job_owner.py
@@ -96,7 +96,7 @@
         self._round_orders: dict[int, maintenance_rounds.RoundOrder] = {}
         self._policy = model.Policy(0, {}, {})
         self._links = side_links.SideLinks(
-            self._get_owned_epoch, self._apply_report, self._on_side_lost
+            self._make_reply, self._apply_report, self._on_side_lost
         )
         self._term: owner_term.OwnerTerm | None = None
         self._resigned = False
@@ -385,13 +385,13 @@
             )
         return self._term
 
-    def _get_owned_epoch(self) -> int:
-        """Return the epoch of the current term."""
-        return self._get_term().epoch
+    def _make_reply(self) -> messages.WorkerReply:
+        """Make the current term's reply to a report."""
+        return self._get_term().make_reply()
 
-    def _apply_report(self, status: fleet.WorkerStatus) -> int:
-        """Apply a worker's status in the current term; return its epoch."""
-        return self._get_term().apply_report(status)
+    def _apply_report(self, status: fleet.WorkerStatus) -> None:
+        """Apply a worker's status in the current term."""
+        self._get_term().apply_report(status)
 
     def _on_side_lost(self, side: str) -> None:
         if self._term is not None:
--- a/kingcuplever/process/owner/owner_term.py
+++ b/kingcuplever/process/owner/owner_term.py
@@ -34,6 +34,8 @@
 RESIGNED_RENEWAL: Final = -1
 
 _TICK_PERIOD_S: Final = 0.05
+# Bounds the age of a permission, which may be infinite, in messages.
+_MAX_AGE_MS: Final = 2**31 - 1
 # Longest time without an append by the owner; failure detection depends on it.
 _RENEWAL_PERIOD_S: Final = 0.4
 _RETRY_S: Final = 0.1
@@ -173,12 +175,23 @@
         self.scheduler.on_job_changed(name, job, now, clock.wall_ms())
         self.wake()
 
-    def apply_report(self, status: fleet.WorkerStatus) -> int:
-        """Apply a worker's status; return the epoch."""
+    def apply_report(self, status: fleet.WorkerStatus) -> None:
+        """Apply a worker's status."""
         now = trio.current_time()
         self.scheduler.apply_report(status, now, clock.wall_ms())
         self.wake()
-        return self.epoch
+
+    def make_reply(self) -> messages.WorkerReply:
+        """Make the reply to a report, which permits starts and renewals.
+
+        Without the log, the age of the permission grows as soon as an outage
+        may be longer than a successor expects.
+        """
+        age_s = self._producer.confirmed_at.elapsed_s()
+        excess_s = max(0.0, age_s - self.scheduler.timing.log_outage_s)
+        return messages.WorkerReply(
+            self.epoch, min(int(excess_s * 1000), _MAX_AGE_MS)
+        )
 
     def wake(self) -> None:
         """Run the scheduler without waiting for the next tick."""
--- a/kingcuplever/process/owner/side_links.py
+++ b/kingcuplever/process/owner/side_links.py
@@ -18,7 +18,7 @@
 
 _ORDER_TIMEOUT_S = 1.0
 
-ReportHandler = Callable[[fleet.WorkerStatus], int]
+ReportHandler = Callable[[fleet.WorkerStatus], None]
 LostHandler = Callable[[str], None]
 
 
@@ -27,20 +27,20 @@
 
     def __init__(
         self,
-        get_epoch: Callable[[], int],
+        make_reply: Callable[[], messages.WorkerReply],
         on_report: ReportHandler,
         on_lost: LostHandler,
     ) -> None:
         """Start without connections.
 
-        :param get_epoch: returns the epoch that this entry owns; it raises
-            :class:`errors.KingcupleverError` if it owns none.
-        :param on_report: applies a worker's status and returns the epoch,
-            or raises as ``get_epoch`` does.
+        :param make_reply: makes the reply to a report; it raises
+            :class:`errors.KingcupleverError` if this entry does not own.
+        :param on_report: applies a worker's status, or raises as
+            ``make_reply`` does.
         :param on_lost: called with the name of each side that has lost its
             connection.
         """
-        self._get_epoch = get_epoch
+        self._make_reply = make_reply
         self._on_report = on_report
         self._on_lost = on_lost
         self._links: dict[str, peers.PeerConnection] = {}
@@ -85,13 +85,13 @@
             connection or this entry does not own.
         """
         if peer not in self._numbers:
-            reply = messages.WorkerReply(self._get_epoch())
+            reply = self._make_reply()
             self._numbers[peer] = next(self._next_number)
             return reply
         previous = self._links.get(message.side)
         if previous is not peer:
             self._check_is_newer(peer, previous, message.side)
-        epoch = self._on_report(_make_status(message))
+        self._on_report(_make_status(message))
         if previous is not peer:
             self._links[message.side] = peer
             logs.info(
@@ -99,7 +99,7 @@
             )
             if previous is not None:
                 await previous.close()
-        return messages.WorkerReply(epoch)
+        return self._make_reply()
 
     def _check_is_newer(
         self,
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -38,11 +38,15 @@
         on its worker.
     :ivar ended_job_retention_s: how long callers can query an ended job.
     :ivar host_downtime_s: how long a host is down for its maintenance.
+    :ivar log_outage_s: how long an owner permits sides to go on while the
+        log does not confirm its ownership.  Its successor waits so much
+        longer for a worker of which it has not heard at all.
     """
 
     lost_after_s: float
     ended_job_retention_s: float
     host_downtime_s: float = 0.0
+    log_outage_s: float = 0.0
 
 
 class RecordBatch(NamedTuple):
@@ -59,15 +63,20 @@
     """Schedules the jobs of one owner's term on the workers that report.
 
     :ivar maintenance: maintenance rounds of the workers' hosts.
+    :ivar timing: its timeouts.
     """
 
     def __init__(self, timing: Timing) -> None:
         """Start without jobs and workers."""
+        self.timing = timing
         self._ended_job_retention_s = timing.ended_job_retention_s
         self._state = scheduler_state.SchedulerState()
         self._jobs = job_tracker.JobTracker(self._state)
         self._workers = worker_tracker.WorkerTracker(
-            self._state, self._jobs, timing.lost_after_s
+            self._state,
+            self._jobs,
+            timing.lost_after_s,
+            timing.log_outage_s,
         )
         self._placer = placer.Placer(self._state)
         self.maintenance = maintenance.Maintenance(
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -31,15 +31,19 @@
         state: scheduler_state.SchedulerState,
         jobs: job_tracker.JobTracker,
         lost_after_s: float,
+        log_outage_s: float,
     ) -> None:
         """Use the state that the scheduler's parts share.
 
         :param lost_after_s: time without a report after which no task can
             still run on its worker, as all leases have expired.
+        :param log_outage_s: how much longer a former owner may have permitted
+            a side to go on that has not reported to this one.
         """
         self._state = state
         self._jobs = jobs
         self._lost_after_s = lost_after_s
+        self._log_outage_s = log_outage_s
 
     def apply_report(
         self, status: fleet.WorkerStatus, now: float, wall_ms: int
@@ -254,7 +258,10 @@
         for name in [*self._state.workers]:
             worker = self._state.workers[name]
             silent_s = now - worker.last_report_at
-            if silent_s > self._lost_after_s:
+            lost_after_s = self._lost_after_s
+            if not worker.has_reported:
+                lost_after_s += self._log_outage_s
+            if silent_s > lost_after_s:
                 reason = f"no report for {silent_s:.1f} s"
                 self._remove_worker(name, now, reason)
                 continue
--- a/kingcuplever/process/stored/log_producer.py
+++ b/kingcuplever/process/stored/log_producer.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from kingcuplever import clock
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import logs
@@ -27,6 +28,8 @@
     :ivar failing_since: monotonic time, in seconds, when the append began that
         is being retried; absent if none is.
     :ivar failed_tries: failed tries of that append.
+    :ivar confirmed_at: when the newest append that the log has confirmed was
+        sent.
     """
 
     def __init__(
@@ -47,6 +50,8 @@
         self._lock = trio.Lock()
         self.failing_since: float | None = None
         self.failed_tries = 0
+        self.confirmed_at = clock.NEVER
+        self._sent_at = clock.NEVER
 
     async def try_append(
         self,
@@ -72,6 +77,7 @@
         """Record that the newest append was found on the log."""
         self._in_doubt = None
         self._sequence += 1
+        self.confirmed_at = self._sent_at
 
     async def append(
         self,
@@ -111,6 +117,7 @@
         is_retry = self._in_doubt is not None
         self._in_doubt = append
         stamp = keyed_log.ProducerStamp(self._name, self.epoch, self._sequence)
+        self._sent_at = clock.read_moment()
         try:
             end = await self._log.append(
                 self._topic, append.records, stamp, append.expected_end
@@ -124,6 +131,7 @@
             raise
         self._in_doubt = None
         self._sequence += 1
+        self.confirmed_at = self._sent_at
         return end
 
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -16,6 +16,7 @@
     "silence_ms": 900,
     "task_lease_ms": 2000,
     "alone_ms": 2000,
+    "log_outage_ms": 10_000,
     "status_ms": 600_000,
     "key_horizon_ms": 60_000,
     "drain_ms": 10_000,
--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -624,7 +624,7 @@
         self._table.listener = self
         self._offset = 0
         self._links = side_links.SideLinks(
-            lambda: self._get_term().epoch,
+            lambda: self._get_term().make_reply(),
             self._apply_report,
             self._on_side_lost,
         )
@@ -669,8 +669,8 @@
             )
         return self.term
 
-    def _apply_report(self, status: fleet.WorkerStatus) -> int:
-        return self._get_term().apply_report(status)
+    def _apply_report(self, status: fleet.WorkerStatus) -> None:
+        self._get_term().apply_report(status)
 
     def _on_side_lost(self, side: str) -> None:
         if self.term is not None:
--- a/tests/test_side_links.py
+++ b/tests/test_side_links.py
@@ -38,7 +38,9 @@
         self.applied: list[str] = []
         self.lost: list[str] = []
         self.links = side_links.SideLinks(
-            lambda: 1, self._on_report, self.lost.append
+            lambda: messages.WorkerReply(1),
+            self._on_report,
+            self.lost.append,
         )
 
     async def report(self, peer: FakePeer, incarnation: str) -> None:
@@ -60,9 +62,8 @@
         await self.report(peer, incarnation)
         return peer
 
-    def _on_report(self, status: fleet.WorkerStatus) -> int:
+    def _on_report(self, status: fleet.WorkerStatus) -> None:
         self.applied.append(fleet.incarnation_of(status.worker))
-        return 1
 
 
 def test_late_report_of_a_replaced_connection_is_rejected() -> None:
