--- a/tests/side_hosts.py
+++ b/tests/side_hosts.py
@@ -82,12 +82,16 @@
         self._nursery.start_soon(function, *args)
         _current.reset(token)
 
-    def kill(self) -> None:
-        """Kill the process; its connections end."""
+    def kill(self, ends_connections: bool = True) -> None:
+        """Kill the process.
+
+        :param ends_connections: false if the other ends learn nothing of it.
+        """
         self.is_killed = True
         self._standstills += 1
-        for stream in self._streams:
-            stream.end()
+        if ends_connections:
+            for stream in self._streams:
+                stream.end()
 
     def add_stream(self, stream: "Stream") -> None:
         """Add an end of a connection, which ends with the process."""
--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -38,6 +38,7 @@
 
 LEASE_MS: Final = 6000
 LOG: Final = "log"
+Registration = executors.Registration
 _FIRST_PORT: Final = 7000
 # Longest time until a worker's answer counts as lost, besides its wait.
 _CALL_TIMEOUT_S: Final = 0.7
@@ -45,6 +46,7 @@
 _HEARTBEAT_S: Final = 0.5
 _READ_PERIOD_S: Final = 0.06
 _STOP_S: Final = 0.9
+_CLAIM_TRIES: Final = 10
 # How long a task runs unless the world says otherwise.
 _LONG_S: Final = 1e6
 
@@ -479,9 +481,13 @@
         self._world = world
         self._start_process()
 
-    def restart(self) -> None:
-        """Kill the side's process, and start another."""
-        self.process.kill()
+    def restart(self, ends_connections: bool = True) -> None:
+        """Kill the side's process, and start another.
+
+        :param ends_connections: false if the owner's end of the connection
+            learns nothing of it.
+        """
+        self.process.kill(ends_connections)
         self._start_process()
 
     def _start_process(self) -> None:
@@ -539,21 +545,26 @@
         topic: str,
         records: Sequence[keyed_log.KeyedRecord],
         stamp: keyed_log.ProducerStamp | None = None,
+        expected_end: int | None = None,
     ) -> int:
         """Append records.
 
         :raises errors.LogFenced: a newer epoch has written.
+        :raises errors.LogConflict: the topic ends elsewhere.
         """
         if stamp is not None:
             key = (topic, stamp.producer)
             if stamp.epoch < self._epochs.get(key, 0):
                 raise errors.LogFenced(f"epoch {stamp.epoch}")
-            self._epochs[key] = stamp.epoch
-            self.epoch = max(self.epoch, stamp.epoch)
         target = {
             job_records.TOPIC: self.records,
             owner_announcements.TOPIC: self.announcements,
         }.get(topic, [])
+        if expected_end not in (None, len(target)):
+            raise errors.LogConflict("other end", len(target))
+        if stamp is not None:
+            self._epochs[key] = stamp.epoch
+            self.epoch = max(self.epoch, stamp.epoch)
         for record in records:
             stored = keyed_log.StoredRecord(
                 len(target), record.key, record.value
@@ -585,7 +596,7 @@
         if self._world.network.is_cut(self._entry, LOG):
             await trio.sleep(0.3)
             raise errors.LogUnavailable("cut off")
-        return self._world.log.append(topic, records, stamp)
+        return self._world.log.append(topic, records, stamp, expected_end)
 
     async def read(
         self, topic: str, offset: int, wait_ms: int
@@ -680,7 +691,10 @@
             self._offset += len(records)
             self._table.apply_records(records)
 
-    async def _run_term(self) -> None:
+    async def _append_claim(
+        self,
+    ) -> tuple[job_records.Owner, log_producer.Producer] | None:
+        """Claim the next epoch; return nothing if another entry did."""
         self._read_log()
         current = self._table.owner
         epoch = 1 if current is None else current.epoch + 1
@@ -690,8 +704,23 @@
         producer = log_producer.Producer(
             self._log, job_records.TOPIC, owner_term.PRODUCER_NAME, epoch
         )
-        await producer.append([job_records.encode_owner(owner)])
-        self._read_log()
+        records = [job_records.encode_owner(owner)]
+        try:
+            await producer.try_append(records, self._offset)
+        except (errors.LogConflict, errors.LogFenced, errors.LogUnavailable):
+            return None
+        return owner, producer
+
+    async def _run_term(self) -> None:
+        for _ in range(_CLAIM_TRIES):
+            claim = await self._append_claim()
+            if claim is not None:
+                break
+            await trio.sleep(_READ_PERIOD_S)
+        if claim is None or self.term is not None:
+            return
+        owner, producer = claim
+        epoch = owner.epoch
         scheduler = self._world.make_scheduler(epoch)
         process_trio = self._world.process_trio
         scheduler.restore(
@@ -749,6 +778,7 @@
 
     :ivar violations: broken rules, with their times.
     :ivar history: what happened, for the message of a failed test.
+    :ivar starts: number of runs that workers started.
     :ivar acked_done: tasks whose end as done has been acknowledged.
     :ivar clock_rate: how fast the clocks of workers are.
     :ivar durations: seconds that the tasks of a job run.
@@ -764,6 +794,7 @@
         self.violations: list[str] = []
         self.history: list[str] = []
         self.acked_done: set[str] = set()
+        self.starts = 0
         self.clock_rate = 0.98
         self.durations: dict[str, float] = {}
         self.sides: list[Side] = []
@@ -851,6 +882,7 @@
 
     def check_start(self, run: fleet.RunId, life: Incarnation) -> None:
         """Check that a task that starts runs nowhere and is not done."""
+        self.starts += 1
         for other in self.find_runs(run.task):
             self.report(f"TWICE {run} at {life.name} beside {other}")
         if run.task in self.acked_done:
@@ -920,11 +952,13 @@
                 world.clock_rate = clock_rate
                 worlds.append(world)
                 world.add_hosts(sides, entries)
-                await scenario(world)
-                nursery.cancel_scope.cancel()
-                world.release_processes()
-                with trio.CancelScope(shield=True):
-                    await trio.testing.wait_all_tasks_blocked()
+                try:
+                    await scenario(world)
+                finally:
+                    nursery.cancel_scope.cancel()
+                    world.release_processes()
+                    with trio.CancelScope(shield=True):
+                        await trio.testing.wait_all_tasks_blocked()
 
     side_hosts.run(main)
     worlds[0].check()
--- a/tests/test_side_histories.py
+++ b/tests/test_side_histories.py
@@ -3,10 +3,13 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 import trio
 
 from kingcuplever.process.scheduling import fleet
+from tests import side_faults
 from tests import side_hosts
 from tests import side_world
 
@@ -14,6 +17,9 @@
 FILLER = "00000000000000f1"
 # Longer than any timeout of the product.
 LONG_S = 60.0
+# Histories in one run of each property, and steps of each.
+HISTORIES = 8
+STEPS = 15
 
 World = side_world.World
 CallFault = side_world.CallFault
@@ -256,3 +262,231 @@
     await trio.sleep(5.0)
     side.restart()
     await trio.sleep(40.0)
+
+
+# Guards against a task that runs again after it was done: its worker was
+# silent for too long, came back and listed the end, and the owner had it
+# dropped without an effect.
+@with_world
+async def test_end_listed_after_the_silence_timeout_is_not_lost(
+    world: World,
+) -> None:
+    await trio.sleep(3.0)
+    for name in (JOB, FILLER):
+        world.submit(name, seconds=10.0 if name == JOB else LONG_S)
+        await trio.sleep(1.0)
+    side, _ = await world.wait_for_run(JOB)
+    # The other worker is full, so that the task waits for this one.
+    cut_from_entries(world, side, 25.0)
+    await trio.sleep(24.0)
+    side.worker.faults["start"] = [CallFault()] * 3
+    await trio.sleep(26.0)
+    assert f"{JOB}.0.0.0" in world.acked_done
+
+
+# Guards against a run that neither starts nor ends: its side was restarted,
+# and the end of its first connection has not reached the owner.
+@with_world
+async def test_restarted_side_gets_its_orders_again(world: World) -> None:
+    side = await fill_one_side(world)
+    side.worker.faults["start"] = [CallFault()]
+    world.submit(JOB)
+    await wait_for_call(side, "start")
+    side.restart(ends_connections=False)
+    await trio.sleep(10.0)
+    assert world.find_runs(JOB)
+
+
+# Guards against runs of a former life of a worker that its owner gives up
+# late, or starts beside one another: it crashed behind a cut, and what it had
+# sent before arrives afterwards.
+@pytest.mark.parametrize("late_s", [0.1, 3.0, 7.0])
+def test_late_registration_of_a_crashed_worker_changes_nothing(
+    late_s: float,
+) -> None:
+    async def scenario(world: World) -> None:
+        side = await place_one_job(world)
+        former = side.worker.make_registration()
+        world.network.cut(side.name, side.worker.host, 5.0)
+        side.worker.restart()
+        await trio.sleep(late_s)
+        side.agent.register(former)
+        await trio.sleep(15.0)
+        assert len(world.find_runs(JOB)) == 1
+
+    side_world.play(scenario)
+
+
+# Guards against the same where the side has forgotten which life has ended.
+@with_world
+async def test_late_registration_at_a_restarted_side_changes_nothing(
+    world: World,
+) -> None:
+    side = await place_one_job(world)
+    former = side.worker.make_registration()
+    side.worker.restart()
+    await trio.sleep(2.0)
+    side.restart()
+    await trio.sleep(1.0)
+    for _ in range(5):
+        side.agent.register(former)
+        await trio.sleep(0.7)
+    await trio.sleep(10.0)
+    assert len(world.find_runs(JOB)) == 1
+
+
+# Guards against a start or a renewal that stands for a permission that has
+# ended: the side stood still between its look at the clock and the call.
+@pytest.mark.parametrize("kind", ["start", "renew"])
+@pytest.mark.parametrize("suspends", [False, True])
+def test_call_after_a_standstill_prolongs_nothing(
+    kind: str, suspends: bool
+) -> None:
+    async def scenario(world: World) -> None:
+        side = await fill_one_side(world)
+        side.client.pauses[kind] = side_hosts.Pause(25.0, suspends)
+        world.submit(JOB)
+        await trio.sleep(2.0)
+        cut_from_entries(world, side, LONG_S)
+        world.cancel(FILLER)
+        await trio.sleep(45.0)
+
+    side_world.play(scenario)
+
+
+# Guards against a late stop that ends the next run of its task there, or room
+# that is given away before a stopped run has ended.
+@with_world
+async def test_late_stop_ends_only_its_run(world: World) -> None:
+    side = await place_one_job(world)
+    late = [CallFault(3.0), CallFault(8.0)]
+    side.worker.faults["stop"] = [*late]
+    world.cancel(JOB)
+    await trio.sleep(0.5)
+    for name in (FILLER, f"{1:016x}"):
+        world.submit(name)
+    await trio.sleep(15.0)
+    assert len(world.find_runs("")) == 2
+
+
+# Guards against a former owner that awakes and answers reports, or sends
+# orders, while its successor counts the silence of their side.
+@pytest.mark.parametrize("pause_s", [6.0, 12.0, 16.0])
+@pytest.mark.parametrize("suspends", [False, True])
+def test_former_owner_that_awakes_prolongs_nothing(
+    pause_s: float, suspends: bool
+) -> None:
+    async def scenario(world: World) -> None:
+        side = await place_one_job(world)
+        former, successor = world.entries
+        world.network.cut(side.name, side_world.LOG, LONG_S)
+        world.network.cut(side.name, successor.name, LONG_S)
+        former.process.pause(pause_s, suspends)
+        await trio.sleep(1.0)
+        successor.claim()
+        await trio.sleep(pause_s - 1.0)
+        # Its next look at the log takes until the next append.
+        world.network.cut(former.name, side_world.LOG, 3.0)
+        await trio.sleep(45.0)
+
+    side_world.play(scenario)
+
+
+def play_history(
+    seed: int,
+    choose: Callable[[side_faults.Faults], list[side_faults.Action]],
+    keeps_duration: bool = False,
+) -> None:
+    """Play a history of random faults of some kinds.
+
+    :param choose: returns the actions that it is made of.
+    """
+
+    async def scenario(world: World) -> None:
+        faults = side_faults.Faults(world, seed)
+        faults.late_by_duration = keeps_duration
+        await trio.sleep(2.0)
+        await faults.play(STEPS, choose(faults))
+        await trio.sleep(30.0)
+        assert world.starts
+
+    side_world.play(scenario, sides=3, entries=2)
+
+
+@pytest.mark.parametrize("keeps_duration", [False, True])
+@hypothesis.settings(max_examples=HISTORIES)
+@hypothesis.given(seed=st.integers(0, 2**32))
+def test_rules_hold_with_late_calls(seed: int, keeps_duration: bool) -> None:
+    play_history(
+        seed,
+        lambda faults: [
+            faults.cancel,
+            faults.delay_calls,
+            faults.delay_calls,
+            faults.cut_side,
+            faults.impair_worker,
+        ],
+        keeps_duration,
+    )
+
+
+@hypothesis.settings(max_examples=HISTORIES)
+@hypothesis.given(seed=st.integers(0, 2**32))
+def test_rules_hold_with_standstills(seed: int) -> None:
+    play_history(
+        seed,
+        lambda faults: [
+            faults.cancel,
+            faults.pause_process,
+            faults.pause_process,
+            faults.cut_side,
+        ],
+    )
+
+
+@hypothesis.settings(max_examples=HISTORIES)
+@hypothesis.given(seed=st.integers(0, 2**32))
+def test_rules_hold_with_restarts(seed: int) -> None:
+    play_history(
+        seed,
+        lambda faults: [
+            faults.crash_worker,
+            faults.restart_side,
+            faults.delay_calls,
+            faults.impair_worker,
+            faults.cut_side,
+        ],
+    )
+
+
+@hypothesis.settings(max_examples=HISTORIES)
+@hypothesis.given(seed=st.integers(0, 2**32))
+def test_rules_hold_with_takeovers(seed: int) -> None:
+    play_history(
+        seed,
+        lambda faults: [
+            faults.replace_owner,
+            faults.replace_owner,
+            faults.cut_side,
+            faults.cancel,
+        ],
+    )
+
+
+@hypothesis.settings(max_examples=HISTORIES)
+@hypothesis.given(seed=st.integers(0, 2**32))
+def test_rules_hold_with_overlapping_faults(seed: int) -> None:
+    play_history(
+        seed,
+        lambda faults: [
+            faults.cancel,
+            faults.delay_calls,
+            faults.cut_side,
+            faults.crash_worker,
+            faults.restart_side,
+            faults.pause_process,
+            faults.replace_owner,
+            faults.impair_worker,
+        ],
+        True,
+    )
