Orders: void without permission, and sent again to a side that lacks them

What callers saw: a task run twice at a time; a task that never started. Cause: a side kept trying a start for as long as no newer orders came. When it was back after a cut in which the owner had given the start up, the first reply permitted it to act, and the start went out before the new orders arrived. And orders were sent once: a side that restarted while the owner still took its former connection for open never got them. Replaced check: test_start_is_not_retried_once_the_owner_may_have_given_it_up took the first reply for the order to go on; it now asks for new orders, and that nothing starts without them (stricter). Ruled out: dropping starts on a new connection (a frozen side reads old orders on the old one first); an end of the old link (a host without power sends none). Change: starts are void once the side may no longer act. Reports carry the number of the orders that hold, and the owner sends its orders again where that number is not the newest. Absent from older releases, which are served as before.

--- a/kingcuplever/process/agent/order_reconciler.py
+++ b/kingcuplever/process/agent/order_reconciler.py
@@ -2,7 +2,9 @@
 
 Orders are level-triggered: each start and stop is retried until the worker's
 own task list shows its effect, or until it is no longer ordered.  A start is
-reported as refused only once it can't take effect late either.
+reported as refused only once it can't take effect late either.  Starts are
+void once the side may no longer act: the owner may have given them up by the
+time it is back, and orders again what it still wants.
 """
 
 from collections.abc import Callable
@@ -77,6 +79,9 @@
             fleet.RunId(row.task, row.run): fleet.StartOrder(*row)
             for row in orders.starts
         }
+        if not self._state.may_act:
+            self._void_starts()
+            starts = {}
         stops = {fleet.RunId(*row) for row in orders.stops}
         self._reconcile_runs(starts, stops, nursery)
         paces = {
@@ -84,6 +89,18 @@
         }
         self._reconcile_paces(paces, nursery)
 
+    @property
+    def number(self) -> int:
+        """Number of the orders of the current owner that hold; 0 for none."""
+        is_current = self._orders_epoch == self._state.epoch
+        return self._orders_number if is_current else 0
+
+    def _void_starts(self) -> None:
+        """Drop the ordered starts, and report that no orders hold."""
+        self._wanted_starts = {}
+        self._orders_number = 0
+        self._on_change()
+
     def reset(self) -> None:
         """Drop the orders for the previous incarnation of the worker."""
         for scope in self._active_starts.values():
@@ -151,7 +168,10 @@
         self, incarnation: str, order: fleet.StartOrder, run: fleet.RunId
     ) -> None:
         while run in self._wanted_starts and not self._state.has_run(run):
-            if not (self._state.clock.is_known and self._state.may_act):
+            if not self._state.may_act:
+                self._void_starts()
+                return
+            if not self._state.clock.is_known:
                 await trio.sleep(_RETRY_S)
                 continue
             if self._state.is_draining:
--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -181,6 +181,7 @@
                 for run, reason in refused.items()
             ),
             0 if task_list is None else task_list.clock_ms,
+            self._orders.number,
         )
 
     def _signal_change(self) -> None:
--- a/kingcuplever/process/owner/owner_term.py
+++ b/kingcuplever/process/owner/owner_term.py
@@ -179,6 +179,15 @@
         """Apply a worker's status."""
         now = trio.current_time()
         self.scheduler.apply_report(status, now, clock.wall_ms())
+        worker = self.scheduler.workers.get(status.worker)
+        if (
+            worker is not None
+            and status.orders is not None
+            and status.orders != worker.orders_number
+            and worker.name not in self._sending
+        ):
+            # Its side has restarted, or its orders have become void.
+            worker.orders_changed = True
         self.wake()
 
     def make_reply(self) -> messages.WorkerReply:
@@ -264,6 +273,7 @@
                 continue
             worker.orders_changed = False
             self._order_number += 1
+            worker.orders_number = self._order_number
             self._sending.add(worker.name)
             orders = messages.WorkerOrders(
                 self.epoch,
--- a/kingcuplever/process/owner/side_links.py
+++ b/kingcuplever/process/owner/side_links.py
@@ -135,4 +135,5 @@
         tuple(fleet.EndedTask(*row) for row in report.ended),
         tuple(fleet.RefusedTask(*row) for row in report.refused),
         report.clock_ms,
+        report.orders,
     )
--- a/kingcuplever/process/scheduling/fleet.py
+++ b/kingcuplever/process/scheduling/fleet.py
@@ -80,6 +80,8 @@
     :ivar remaining_ms: minimum time until it leaves; 0 if unknown.
     :ivar has_ended: this incarnation of the worker has ended.
     :ivar clock_ms: the worker's own clock when it listed its tasks.
+    :ivar orders: number of the orders that the side follows; absent if it
+        does not say.
     """
 
     worker: str
@@ -95,6 +97,7 @@
     ended: tuple[EndedTask, ...]
     refused: tuple[RefusedTask, ...]
     clock_ms: int
+    orders: int | None = None
 
 
 def worker_name(incarnation: str, side: str) -> str:
@@ -121,6 +124,7 @@
         up, until their end is reported.
     :ivar pending_starts: start orders that the side has not confirmed.
     :ivar pending_stops: runs that must end there.
+    :ivar orders_number: number of the newest orders sent.
     :ivar paces: share of its CPU that a filling run may use, in percent,
         for runs that are or were slowed.
     :ivar pace_percent: that share for all filling runs, in percent.
@@ -160,6 +164,7 @@
         self.pace_set_at = float("-inf")
         self.acked = 0
         self.orders_changed = False
+        self.orders_number = 0
         self.quarantined_until = 0.0
         self.cordoned = False
         self._failures = 0
--- a/tests/test_side_histories.py
+++ b/tests/test_side_histories.py
@@ -392,6 +392,29 @@
     side_world.play(scenario)
 
 
+# Guards against a task that runs twice: a start that was still being tried
+# when the side was cut off was tried once more before the owner, which had
+# given it up, could say so.
+@with_world
+async def test_start_given_up_is_not_tried_after_a_cut(world: World) -> None:
+    side = await fill_one_side(world)
+    side.worker.faults["start"] = [CallFault()] * 500
+    world.submit(JOB)
+    await wait_for_call(side, "start")
+    cut_from_entries(world, side, 40.0)
+    await trio.sleep(10.0)
+    world.cancel(FILLER)
+    await trio.sleep(29.0)
+    side.worker.faults["start"] = []
+    # Orders take longer than a reply.
+    world.network.pauses_after_send[world.entries[0].name] = side_hosts.Pause(
+        0.3, False
+    )
+    await trio.sleep(10.0)
+    starts = [kind for kind, _ in side.worker.sent[-60:] if kind == "start"]
+    assert not starts
+
+
 def play_history(
     seed: int,
     choose: Callable[[side_faults.Faults], list[side_faults.Action]],
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -456,12 +456,45 @@
     fake.unanswered_starts = 0
     await trio.sleep(10.0)
     assert not fake.running
-    # The owner is back, and still orders it.
+    # The owner is back, and has not said yet what it wants now.
     agent.record_owner_contact(1, clock.read_moment())
     await trio.sleep(1.0)
+    assert not fake.running
+    (report,) = agent.make_reports()
+    assert report.orders == 0
+    # It still orders it.
+    agent.apply_orders(make_orders(1, 1))
+    await trio.sleep(1.0)
     assert len(fake.running) == 1
 
 
+# Guards against the same with orders that arrive late at a frozen side.
+@with_worker_agent
+async def test_orders_without_permission_start_nothing_later(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    await trio.sleep(AUTONOMOUS_RENEWAL_S + 1.0)
+    agent.apply_orders(make_orders(3, 1))
+    agent.record_owner_contact(1, clock.read_moment())
+    await trio.sleep(1.0)
+    assert not fake.running
+    (report,) = agent.make_reports()
+    assert report.orders == 0
+
+
+@with_worker_agent
+async def test_report_has_the_number_of_the_orders(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    agent.apply_orders(make_orders(7, 1))
+    (report,) = agent.make_reports()
+    assert report.orders == 7
+    # A new owner's orders are numbered from 1 again.
+    agent.record_epoch(2)
+    (report,) = agent.make_reports()
+    assert report.orders == 0
+
+
 # Guards against the same after a suspension, for which the clock of the event
 # loop stands still.
 def test_start_waits_for_the_owner_after_a_suspension(
@@ -485,6 +518,7 @@
         assert not fake.running
         assert fake.lease_end_ms == lease_end_ms
         agent.record_owner_contact(1, clock.read_moment())
+        agent.apply_orders(make_orders(1, 1))
         await trio.sleep(1.5)
         assert len(fake.running) == 1
         assert fake.lease_end_ms > lease_end_ms
