Test of a side's restart: the worker's record of its lease is the judge

The side was back 4.0 s after it had left, the lease of 4.0 s had lapsed, and run 2 followed rightly.

Cause: the side waited for a core. 74 restarts of a side in a small site on the loopback, timed from outside (9, 25 and 40 in three runs, load 15 to 19): 72 renewed within 0.71 to 1.16 s of the start. One took 2.57 s: 0.30 s of processor time and 1.98 s on a run queue, ready to run in 217 of 245 samples and at its event loop in the rest, no core idle, no wait for a disk. One took 3.57 s with 0.38 s of processor time; its queue was not measured yet. Ruled out: the side's own work (0.36 s of processor time to the first renewal, median of the medians), the store and the owner (0.02 s after the imports).

Change: the claim stays, a task survives a restart of its side. The worker records each extension of its lease and how late it came, on its own clock. The stand-in ends what a lapsed lease held before it takes the renewal, not a tick later.

--- a/standins/wire_site.py
+++ b/standins/wire_site.py
@@ -103,6 +103,16 @@
         """Whether it is running."""
         return self._process.poll() is None
 
+    @property
+    def core_wait_s(self) -> float:
+        """How long its threads were ready to run and had no core."""
+        threads = pathlib.Path(f"/proc/{self._process.pid}/task")
+        # The second figure is the time on a run queue, in nanoseconds.
+        return sum(
+            int(file.read_text(encoding="ascii").split()[1]) / 1e9
+            for file in threads.glob("*/schedstat")
+        )
+
     def read_log(self) -> str:
         """Return its output so far."""
         return pathlib.Path(self._log_path).read_text(encoding="utf-8")
--- a/standins/wire_worker.py
+++ b/standins/wire_worker.py
@@ -50,6 +50,21 @@
     at: float
 
 
+class Renewal(NamedTuple):
+    """One call that extended the lease, on the worker's clock.
+
+    :ivar previous_end_ms: where the lease ended until then.
+    """
+
+    at_ms: int
+    previous_end_ms: int
+
+    @property
+    def late_ms(self) -> int:
+        """How long the lease had lapsed; 0 if the call came in time."""
+        return max(0, self.at_ms - self.previous_end_ms)
+
+
 class _RunningTask:
     """One running task."""
 
@@ -71,6 +86,7 @@
     """One executor, in its current incarnation.
 
     :ivar starts: the starts that were carried out.
+    :ivar renewals: the calls that extended the lease, oldest first.
     :ivar acknowledged_ends: the ends that were acknowledged in time.
     :ivar draining: whether it registers as draining.
     :ivar fails_all: whether every task fails soon after its start.
@@ -90,6 +106,7 @@
         """
         self.incarnation = incarnation
         self.starts: list[TaskStart] = []
+        self.renewals: list[Renewal] = []
         self.acknowledged_ends: list[AcknowledgedEnd] = []
         self.draining = False
         self.fails_all = False
@@ -142,13 +159,20 @@
         if body.get("Fence", 0) < self._fence:
             return self._make_response({"Reason": "fence"}, 409)
         self._fence = body.get("Fence", 0)
-        self._lease_end_ms = max(self._lease_end_ms, body.get("UntilMs", 0))
+        # What the lease had lapsed for is over before it is extended.
+        self._end_due_tasks()
+        self._extend_lease(body.get("UntilMs", 0))
         if request.path == "/run-start":
             return self._start_task(body)
         if request.path == "/run-stop":
             return self._stop_task(body)
         return await self._renew_and_list(body)
 
+    def _extend_lease(self, end_ms: int) -> None:
+        if end_ms > self._lease_end_ms:
+            self.renewals.append(Renewal(_clock_ms(), self._lease_end_ms))
+            self._lease_end_ms = end_ms
+
     def _start_task(self, body: dict[str, Any]) -> http_server.HttpResponse:
         task, run = body["Task"], body["Run"]
         if run <= self._closed_runs.get(task, 0):
