--- a/kingcuplever/platform/side_role.py
+++ b/kingcuplever/platform/side_role.py
@@ -53,13 +53,14 @@
             )
             for task in (agent.run, follower.run, link.run):
                 nursery.start_soon(task)
-            await nursery.start(roles.serve_metrics, host, metrics)
+            # No lease is renewed before the worker has registered.
             await nursery.start(
                 http_server.serve,
                 host.registry,
                 registry.make_handler(agent),
                 stop,
             )
+            await nursery.start(roles.serve_metrics, host, metrics)
             logs.info(logs.Component.PROCESS, f"Side {host.name} runs.")
             await signals.wait_for_stop()
             logs.info(logs.Component.PROCESS, f"Side {host.name} ends.")
