--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -4,7 +4,9 @@
 import pathlib
 import random
 import tomllib
+from typing import NamedTuple
 
+from tools import day_forms
 from tools import make_days
 
 DAYS = pathlib.Path("deploy/days")
@@ -36,3 +38,113 @@
         day = tomllib.loads(path.read_text(encoding="utf-8"))
         for trouble in [*day.get("plan", []), *day.get("faults", [])]:
             assert 0 <= trouble["at"] < 40, path
+
+
+class Struck(NamedTuple):
+    """An event of a day file, with its form and the words of its variant."""
+
+    form: day_forms.Form
+    at: float
+    for_s: float
+    on: str
+    selection: str
+    how: str
+    addition: str
+
+
+def read_form_days() -> list[list[Struck]]:
+    """Return the events of each generated day of forms, by their times."""
+    variants = {}
+    for form in day_forms.FORMS:
+        for words in itertools.product(
+            form.selections, form.hows, form.additions
+        ):
+            key = (form.kind, " ".join(filter(None, words)))
+            assert key not in variants
+            variants[key] = (form, words)
+    days = []
+    for path in sorted(DAYS.glob("forms-*.toml")):
+        day = tomllib.loads(path.read_text(encoding="utf-8"))
+        struck = []
+        for event in [*day["plan"], *day["faults"]]:
+            form, words = variants[event["kind"], event.get("how", "")]
+            for_s = event.get("for_s", 0.0)
+            on = event.get("on", "")
+            struck.append(Struck(form, event["at"], for_s, on, *words))
+        days.append(sorted(struck, key=lambda event: event.at))
+    return days
+
+
+def test_every_form_is_held_by_a_day_in_each_variant() -> None:
+    held = {
+        (event.form.name, event.how)
+        for day in read_form_days()
+        for event in day
+    }
+    assert held == {
+        (form.name, how) for form in day_forms.FORMS for how in form.hows
+    }
+
+
+def test_every_value_is_held_by_a_day_for_each_kind() -> None:
+    held: set[tuple[str, tuple[str, ...], str]] = set()
+    for event in itertools.chain.from_iterable(read_form_days()):
+        form = event.form
+        assert (event.for_s > 0) == form.lasts
+        held.add((form.kind, ("for_s",), str(event.for_s)))
+        held.add((form.kind, form.classes, event.on))
+        held.add((form.kind, form.selections, event.selection))
+        held.add((form.kind, form.additions, event.addition))
+    wanted: set[tuple[str, tuple[str, ...], str]] = set()
+    for form in day_forms.FORMS:
+        if form.lasts:
+            for for_s in day_forms.DURATIONS_S:
+                wanted.add((form.kind, ("for_s",), str(for_s)))
+        for values in (form.classes, form.selections, form.additions):
+            for value in values:
+                wanted.add((form.kind, values, value))
+    assert wanted - held == set()
+
+
+def test_durations_lie_below_at_and_above_each_bound() -> None:
+    for bound_s in (1.0, 1.6, 2.5, 10.0, 12.0, 23.7):
+        near = [
+            duration_s
+            for duration_s in day_forms.DURATIONS_S
+            if abs(duration_s - bound_s) < 0.1 * bound_s
+        ]
+        assert min(near) < bound_s < max(near)
+        assert bound_s in near
+
+
+def test_forms_of_one_promise_strike_together_in_both_orders() -> None:
+    orders = set()
+    middles = set()
+    for day in read_form_days():
+        for first, second in itertools.combinations(day, 2):
+            names = (first.form.name, second.form.name)
+            is_under_way = second.at < first.at + first.for_s
+            if is_under_way:
+                middles.add(frozenset(names))
+            if is_under_way or second.at - first.at <= 12.0:
+                orders.add(names)
+    missing = []
+    for first_form, second_form in itertools.permutations(day_forms.FORMS, 2):
+        if not first_form.promises & second_form.promises:
+            continue
+        names = (first_form.name, second_form.name)
+        if names not in orders:
+            missing.append(names)
+        if first_form.lasts or second_form.lasts:
+            if frozenset(names) not in middles:
+                missing.append(names)
+    assert missing == []
+
+
+def test_day_files_of_forms_are_as_the_tool_writes_them() -> None:
+    rng = random.Random(make_days._FORMS_SEED)
+    texts = make_days.render_form_days(make_days.choose_form_days(rng))
+    assert texts.keys() == {path.stem for path in DAYS.glob("forms-*.toml")}
+    for name, text in texts.items():
+        path = DAYS / f"{name}.toml"
+        assert path.read_text(encoding="utf-8") == text
