Logs: one line an event, without an empty one after it

Cause: loguru ends a format of text with a line break of its own. Evidence: test_each_event_is_one_line failed before (four lines for two events).

--- a/kingcuplever/logs.py
+++ b/kingcuplever/logs.py
@@ -17,7 +17,7 @@
 
 _FORMAT: Final = (
     "{time:YYYY-MM-DDTHH:mm:ss.SSS}Z {level: <7} {extra[process]}"
-    " {extra[part]}: {message}\n"
+    " {extra[part]}: {message}"
 )
 # Sustained rate and burst of a process's lines.  The rate costs some
 # milliseconds of CPU time; the burst exceeds what a burst of scheduling
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,8 @@
 """Log lines that never block their process."""
 
 import os
+import subprocess
+import sys
 
 import pytest
 
@@ -55,3 +57,21 @@
         for _ in range(1000):
             sink.write("line\n")
         assert sink.dropped == 1000 - 199
+
+
+def test_each_event_is_one_line() -> None:
+    # Guards against an empty line after each event, which doubled the lines
+    # that a reader has to take.
+    program = (
+        "from kingcuplever import logs;"
+        "logs.configure('entry-1');"
+        "logs.info(logs.Component.OWNER, 'one');"
+        "logs.warn(logs.Component.OWNER, 'two')"
+    )
+    output = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, check=True
+    ).stdout.decode()
+    assert [line[-11:] for line in output.splitlines()] == [
+        " owner: one",
+        " owner: two",
+    ]
