Orders: a refused start is reported once the worker lacks its run

What callers saw: a task run twice at a time (TWICE), and a worker given more than it has room for (LIMIT), both from one refusal. Cause: a start had taken effect without an answer, and the next try of it was answered as unhealthy. The side, whose list is up to a second old and more if lists get no answers either, stopped the run and reported the refusal as soon as the stop was answered. A stop takes up to 0.9 s: meanwhile the task was started elsewhere, and its room was given away while it was being stopped. Ruled out: the list that is under way (it may have been asked for before). Change: after the stop a list is asked for at once; a run that it shows ends by its own report.

--- a/kingcuplever/process/agent/order_reconciler.py
+++ b/kingcuplever/process/agent/order_reconciler.py
@@ -227,11 +227,33 @@
     async def _report_refusal(
         self, incarnation: str, run: fleet.RunId, reason: str
     ) -> None:
-        """Report a run as refused, once it can't start any more."""
-        # An earlier start, perhaps of this side's former process, may still
-        # take effect; the stop prevents that.
-        if await self._stop_until_answered(incarnation, run):
-            self._record_refusal(incarnation, run, reason)
+        """Report a run as refused, once it can't start any more.
+
+        An earlier start, perhaps of this side's former process, may have
+        taken effect unseen, or may still do so: the run is stopped.
+        """
+        if not await self._stop_until_answered(incarnation, run):
+            return
+        while run in self._wanted_starts and not self._state.has_run(run):
+            if await self._is_absent(incarnation, run):
+                self._record_refusal(incarnation, run, reason)
+                return
+            await trio.sleep(_RETRY_S)
+
+    async def _is_absent(self, incarnation: str, run: fleet.RunId) -> bool:
+        """List the tasks now; return whether the worker lacks a run.
+
+        False also without a list.
+        """
+        try:
+            task_list = await self._worker.renew_and_list(
+                incarnation, self._state.epoch, self.acked, None, 0
+            )
+        except errors.KingcupleverError as error:
+            text = f"No list of {incarnation} for {run.task}: {error.detail}"
+            logs.warn(logs.Component.TASK, text)
+            return False
+        return not worker_state.has_run(task_list, run)
 
     def _record_refusal(
         self, incarnation: str, run: fleet.RunId, reason: str
--- a/kingcuplever/process/agent/worker_state.py
+++ b/kingcuplever/process/agent/worker_state.py
@@ -71,9 +71,11 @@
 
     def has_run(self, run: fleet.RunId) -> bool:
         """Return whether the newest task list has a run."""
-        if self.task_list is None:
-            return False
-        task_list = self.task_list
-        return any(
-            (row.task, row.run) == run for row in task_list.running
-        ) or any((row.task, row.run) == run for row in task_list.ended)
+        return self.task_list is not None and has_run(self.task_list, run)
+
+
+def has_run(task_list: executors.TaskList, run: fleet.RunId) -> bool:
+    """Return whether a run is listed, as running or as ended."""
+    return any((row.task, row.run) == run for row in task_list.running) or any(
+        (row.task, row.run) == run for row in task_list.ended
+    )
--- a/tests/test_producing.py
+++ b/tests/test_producing.py
@@ -107,3 +107,39 @@
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
     assert log.records == [RECORD, other]
+
+
+class _RepeatLog:
+    """A log that loses one answer, and answers repeats as it did first."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def append(
+        self,
+        topic: str,
+        records: object,
+        stamp: keyed_log.ProducerStamp,
+        expected_end: int | None = None,
+    ) -> int:
+        """Append; the first answer is lost."""
+        self.calls += 1
+        if self.calls == 1:
+            raise errors.LogUnavailable("lost")
+        return 1
+
+
+# Guards against a former owner whose permission is renewed by the answer to
+# a repeat: the append took effect before its successor's claim.
+def test_repeated_append_confirms_its_first_sending_only() -> None:
+    async def main() -> None:
+        producer = log_producer.Producer(
+            _RepeatLog(), "jobs", "owner", 1  # type: ignore[arg-type]
+        )
+        with pytest.raises(errors.LogUnavailable):
+            await producer.try_append([])
+        await trio.sleep(10.0)
+        await producer.try_append([])
+        assert producer.confirmed_at.elapsed_s() >= 10.0
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/test_side_histories.py
+++ b/tests/test_side_histories.py
@@ -415,6 +415,59 @@
     assert not starts
 
 
+# Guards against a task that runs twice: a first try of its start took effect
+# without an answer, the next was refused, and the run was given up while its
+# stop was still under way.
+@pytest.mark.parametrize("phase_s", [0.0, 0.2, 0.4, 0.6, 0.8])
+def test_refused_start_is_given_up_once_its_run_has_ended(
+    phase_s: float,
+) -> None:
+    async def scenario(world: World) -> None:
+        side = await fill_one_side(world)
+        await trio.sleep(phase_s)
+        side.worker.faults["start"] = [CallFault(0.6)]
+        world.submit(JOB)
+        await wait_for_call(side, "start")
+        world.cancel(FILLER)
+        await trio.sleep(0.65)
+        side.worker.current.is_unhealthy = True
+        await trio.sleep(20.0)
+
+    side_world.play(scenario)
+
+
+# Guards against a task that runs twice: a worker deregisters before it ends.
+@with_world
+async def test_deregistered_worker_has_ended_before_its_runs_are_lost(
+    world: World,
+) -> None:
+    side = await place_one_job(world)
+    side.agent.deregister(side.worker.current.name)
+    await trio.sleep(2.0)
+    side.worker.restart()
+    await trio.sleep(20.0)
+
+
+# Guards against orders that are sent without end: each makes the side report
+# that it holds none, as it may not act without a confirmation of the log.
+@with_world
+async def test_orders_are_not_sent_in_a_loop_without_the_log(
+    world: World,
+) -> None:
+    side = await fill_one_side(world)
+    side.worker.faults["start"] = [CallFault()] * 500
+    world.submit(JOB)
+    await wait_for_call(side, "start")
+    owner = world.entries[0]
+    world.network.cut(owner.name, side_world.LOG, LONG_S)
+    await trio.sleep(15.0)
+    term = owner.term
+    assert term is not None
+    before = term._order_number
+    await trio.sleep(10.0)
+    assert term._order_number - before <= 100
+
+
 def play_history(
     seed: int,
     choose: Callable[[side_faults.Faults], list[side_faults.Action]],
--- a/tests/test_side_links.py
+++ b/tests/test_side_links.py
@@ -107,3 +107,19 @@
         assert not current.is_closed
 
     trio.run(main)
+
+
+# Guards against a report of a former incarnation that arrives when the newer
+# connection, which would have made it void, has ended as well.
+def test_late_report_after_the_end_of_a_newer_connection_is_rejected() -> None:
+    async def main() -> None:
+        owner = Owner()
+        former = FakePeer()
+        await owner.report(former, "i-1")
+        current = await owner.connect("i-2")
+        owner.links.remove_link(cast(peers.PeerConnection, current))
+        with pytest.raises(errors.KingcupleverError):
+            await owner.report(former, "i-1")
+        assert owner.applied[-1] == "i-2"
+
+    trio.run(main)
