Side links: an ended connection still counts as the newest

Cause: the number of a side's newest connection was forgotten with its end, so a late report of a former one, answered once before, was applied after all. Change: the number is kept for each side.

--- a/kingcuplever/process/owner/side_links.py
+++ b/kingcuplever/process/owner/side_links.py
@@ -47,6 +47,8 @@
         # Numbers the connections in the order of their first reports.
         self._next_number = itertools.count()
         self._numbers: dict[peers.PeerConnection, int] = {}
+        # Number of each side's newest connection, also once that has ended.
+        self._newest: dict[str, int] = {}
 
     def is_linked(self, side: str) -> bool:
         """Return whether a side has a connection."""
@@ -90,10 +92,11 @@
             return reply
         previous = self._links.get(message.side)
         if previous is not peer:
-            self._check_is_newer(peer, previous, message.side)
+            self._check_is_newest(peer, message.side)
         self._on_report(_make_status(message))
         if previous is not peer:
             self._links[message.side] = peer
+            self._newest[message.side] = self._numbers[peer]
             logs.info(
                 logs.Component.MEMBER, f"Side {message.side} has connected."
             )
@@ -101,15 +104,9 @@
                 await previous.close()
         return self._make_reply()
 
-    def _check_is_newer(
-        self,
-        peer: peers.PeerConnection,
-        current: peers.PeerConnection | None,
-        side: str,
-    ) -> None:
-        """Check that a connection is newer than a side's current one."""
-        number = -1 if current is None else self._numbers[current]
-        if self._numbers[peer] < number:
+    def _check_is_newest(self, peer: peers.PeerConnection, side: str) -> None:
+        """Check that a side has had no newer connection."""
+        if self._numbers[peer] < self._newest.get(side, 0):
             text = (
                 f"Side {side} has a newer connection; a late report ignored."
             )
