Producer: a confirmation counts from the first sending of its append

Cause: each try set the time, but a repeat may be given the answer of an earlier one, from before a successor's claim. Evidence: test_repeated_append_confirms_its_first_sending_only failed before (found by the review; that the store answers so is not shown).

--- a/kingcuplever/process/stored/log_producer.py
+++ b/kingcuplever/process/stored/log_producer.py
@@ -29,7 +29,7 @@
         is being retried; absent if none is.
     :ivar failed_tries: failed tries of that append.
     :ivar confirmed_at: when the newest append that the log has confirmed was
-        sent.
+        first sent.
     """
 
     def __init__(
@@ -117,7 +117,9 @@
         is_retry = self._in_doubt is not None
         self._in_doubt = append
         stamp = keyed_log.ProducerStamp(self._name, self.epoch, self._sequence)
-        self._sent_at = clock.read_moment()
+        if not is_retry:
+            # A retry may get the answer that was meant for an earlier try.
+            self._sent_at = clock.read_moment()
         try:
             end = await self._log.append(
                 self._topic, append.records, stamp, append.expected_end
