--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -508,9 +508,12 @@
 
     async def _follow_owner(self) -> None:
         """Read the announcements of owners."""
+        read = 0
         while True:
             if not self._world.network.is_cut(self.name, LOG):
-                self._sink.apply_records(self._world.log.announcements)
+                records = self._world.log.announcements[read:]
+                read += len(records)
+                self._sink.apply_records(records)
             await trio.sleep(_READ_PERIOD_S)
 
     async def _receive_registrations(self) -> None:
--- a/tests/test_side_histories.py
+++ b/tests/test_side_histories.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from kingcuplever.process import leases
 from kingcuplever.process.scheduling import fleet
 from tests import side_faults
 from tests import side_hosts
@@ -15,8 +16,10 @@
 
 JOB = "5c0e7a21d94b36f8"
 FILLER = "00000000000000f1"
+# Silence of a side after which its owner gives its runs up.
+SILENCE_S = leases.compute_side_timeout_s(side_world.LEASE_MS / 1000)
 # Longer than any timeout of the product.
-LONG_S = 60.0
+LONG_S = 60.0 + SILENCE_S
 # Histories in one run of each property, and steps of each.
 HISTORIES = 8
 STEPS = 15
@@ -112,7 +115,7 @@
         cut_from_entries(world, side, LONG_S)
         late = CallFault(12.0, keeps_duration)
         side.worker.faults["renew"] = [late, None] * 50
-        await trio.sleep(45.0)
+        await trio.sleep(SILENCE_S + 25.0)
 
     side_world.play(scenario)
 
@@ -133,7 +136,7 @@
         await trio.sleep(9.0)
         late = CallFault(12.0, keeps_duration)
         side.worker.faults["start"] = [late] * 500
-        await trio.sleep(40.0)
+        await trio.sleep(SILENCE_S + 20.0)
 
     side_world.play(scenario)
 
@@ -144,12 +147,12 @@
 def test_order_read_after_a_standstill_starts_nothing(suspends: bool) -> None:
     async def scenario(world: World) -> None:
         side = await fill_one_side(world)
-        side.process.pause(25.0, suspends)
+        side.process.pause(SILENCE_S + 5.0, suspends)
         world.submit(JOB)
         await trio.sleep(2.0)
         cut_from_entries(world, side, LONG_S)
         world.cancel(FILLER)
-        await trio.sleep(50.0)
+        await trio.sleep(SILENCE_S + 30.0)
 
     side_world.play(scenario)
 
@@ -164,13 +167,13 @@
     side.worker.faults["start"] = [CallFault()] * 10
     world.submit(JOB)
     await wait_for_call(side, "start")
-    pause = side_hosts.Pause(25.0, True)
+    pause = side_hosts.Pause(SILENCE_S + 5.0, True)
     world.network.pauses_after_send[side.name] = pause
     await trio.sleep(2.0)
     side.worker.faults["start"] = []
     cut_from_entries(world, side, LONG_S)
     world.cancel(FILLER)
-    await trio.sleep(50.0)
+    await trio.sleep(SILENCE_S + 30.0)
 
 
 # Guards against orders that prolong leases for longer than their owner waits:
@@ -190,7 +193,7 @@
     for number in range(12):
         world.submit(f"{number:016x}", 1, 0)
         await trio.sleep(0.2)
-    await trio.sleep(40.0)
+    await trio.sleep(SILENCE_S + 20.0)
 
 
 # Guards against a former owner that keeps a side's leases alive while its
@@ -206,7 +209,7 @@
     world.network.cut(side.name, successor.name, LONG_S)
     await trio.sleep(1.6)
     successor.claim()
-    await trio.sleep(50.0)
+    await trio.sleep(SILENCE_S + 30.0)
 
 
 # Guards against a task that runs twice: its side restarted while a start was
@@ -263,10 +266,11 @@
     world: World,
 ) -> None:
     side = await place_one_job(world)
-    world.entries[0].process.pause(20.5)
-    await trio.sleep(5.0)
+    # The owner gives the run up as soon as it awakes.
+    world.entries[0].process.pause(SILENCE_S + 0.9)
+    await trio.sleep(SILENCE_S - 15.0)
     side.restart()
-    await trio.sleep(40.0)
+    await trio.sleep(SILENCE_S + 20.0)
 
 
 # Guards against a task that runs again after it was done: its worker was
@@ -282,13 +286,31 @@
         await trio.sleep(1.0)
     side, _ = await world.wait_for_run(JOB)
     # The other worker is full, so that the task waits for this one.
-    cut_from_entries(world, side, 25.0)
-    await trio.sleep(24.0)
+    cut_from_entries(world, side, SILENCE_S + 5.0)
+    await trio.sleep(SILENCE_S + 4.0)
     side.worker.faults["start"] = [CallFault()] * 3
     await trio.sleep(26.0)
     assert f"{JOB}.0.0.0" in world.acked_done
 
 
+# Guards against the same while the next run is on its way elsewhere.
+@with_world
+async def test_end_listed_late_ends_the_next_run_before_its_start(
+    world: World,
+) -> None:
+    await trio.sleep(3.0)
+    world.submit(JOB, seconds=10.0)
+    side, _ = await world.wait_for_run(JOB)
+    (other,) = [each for each in world.sides if each is not side]
+    await trio.sleep(1.0)
+    cut_from_entries(world, side, SILENCE_S + 5.0)
+    other.worker.faults["start"] = [CallFault()] * 500
+    await wait_until(lambda: f"{JOB}.0.0.0" in world.acked_done)
+    await trio.sleep(1.0)
+    other.worker.faults["start"] = []
+    await trio.sleep(10.0)
+
+
 # Guards against a run that neither starts nor ends: its side was restarted,
 # and the end of its first connection has not reached the owner.
 @with_world
@@ -349,12 +371,12 @@
 ) -> None:
     async def scenario(world: World) -> None:
         side = await fill_one_side(world)
-        side.client.pauses[kind] = side_hosts.Pause(25.0, suspends)
+        side.client.pauses[kind] = side_hosts.Pause(SILENCE_S + 5.0, suspends)
         world.submit(JOB)
         await trio.sleep(2.0)
         cut_from_entries(world, side, LONG_S)
         world.cancel(FILLER)
-        await trio.sleep(45.0)
+        await trio.sleep(SILENCE_S + 25.0)
 
     side_world.play(scenario)
 
@@ -392,7 +414,7 @@
         await trio.sleep(pause_s - 1.0)
         # Its next look at the log takes until the next append.
         world.network.cut(former.name, side_world.LOG, 3.0)
-        await trio.sleep(45.0)
+        await trio.sleep(SILENCE_S + 25.0)
 
     side_world.play(scenario)
 
@@ -412,7 +434,7 @@
         faults.late_by_duration = keeps_duration
         await trio.sleep(2.0)
         await faults.play(STEPS, choose(faults))
-        await trio.sleep(30.0)
+        await trio.sleep(SILENCE_S + 10.0)
         assert world.starts
 
     side_world.play(scenario, sides=3, entries=2)
