--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -493,8 +493,9 @@
     def _start_process(self) -> None:
         self.process = self._world.make_process(self.name)
         self.client = WorkerClient(self._world, self.worker, self.process)
+        self._metrics = job_metrics.JobMetrics()
         self.agent = worker_agent.WorkerAgent(
-            self.name, self.client, LEASE_MS, job_metrics.JobMetrics()
+            self.name, self.client, LEASE_MS, self._metrics
         )
         self._sink = owner_link.OwnerSink()
         link = owner_link.OwnerLink(self._sink, self.agent)
@@ -506,6 +507,14 @@
         ):
             self.process.spawn(task)
 
+    @property
+    def owner_silence_s(self) -> float:
+        """Seconds since the side's last contact to an owner."""
+        name = "kingcuplever_side_alone_seconds"
+        value = self._metrics.registry.get_sample_value(name)
+        assert value is not None
+        return value
+
     async def _follow_owner(self) -> None:
         """Read the announcements of owners."""
         read = 0
--- a/tests/test_side_histories.py
+++ b/tests/test_side_histories.py
@@ -311,6 +311,29 @@
     await trio.sleep(10.0)
 
 
+# Guards against a start that an owner has given up: the side still had its
+# order when it was in contact again, and no newer orders yet.
+@with_world
+async def test_order_from_before_a_long_cut_starts_nothing(
+    world: World,
+) -> None:
+    side = await fill_one_side(world)
+    side.worker.faults["start"] = [CallFault()] * 500
+    world.submit(JOB)
+    await wait_for_call(side, "start")
+    cut_from_entries(world, side, SILENCE_S + 5.0)
+    world.cancel(FILLER)
+    await trio.sleep(SILENCE_S + 4.0)
+    side.worker.faults["start"] = []
+    entry = world.entries[0]
+    with trio.fail_after(10.0):
+        while side.owner_silence_s > 3.0:
+            await trio.sleep(0.0005)
+    # The reply to the report passes, the orders after it do not.
+    world.network.cut(entry.name, side.name, 5.0, both=False)
+    await trio.sleep(10.0)
+
+
 # Guards against a run that neither starts nor ends: its side was restarted,
 # and the end of its first connection has not reached the owner.
 @with_world
