--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -495,8 +495,9 @@
     def _start_process(self) -> None:
         self.process = self._world.make_process(self.name)
         self.client = WorkerClient(self._world, self.worker, self.process)
+        self._metrics = job_metrics.JobMetrics()
         self.agent = worker_agent.WorkerAgent(
-            self.name, self.client, LEASE_MS, job_metrics.JobMetrics()
+            self.name, self.client, LEASE_MS, self._metrics
         )
         self._sink = owner_link.OwnerSink()
         link = owner_link.OwnerLink(self._sink, self.agent)
@@ -508,11 +509,22 @@
         ):
             self.process.spawn(task)
 
+    @property
+    def owner_silence_s(self) -> float:
+        """Seconds since the side's last contact to an owner."""
+        name = "kingcuplever_side_alone_seconds"
+        value = self._metrics.registry.get_sample_value(name)
+        assert value is not None
+        return value
+
     async def _follow_owner(self) -> None:
         """Read the announcements of owners."""
+        read = 0
         while True:
             if not self._world.network.is_cut(self.name, LOG):
-                self._sink.apply_records(self._world.log.announcements)
+                records = self._world.log.announcements[read:]
+                read += len(records)
+                self._sink.apply_records(records)
             await trio.sleep(_READ_PERIOD_S)
 
     async def _receive_registrations(self) -> None:
@@ -655,6 +667,8 @@
         """Ignore a change of the operators' state."""
 
     def _accept(self, stream: side_hosts.Stream) -> None:
+        if self.process.is_killed:
+            raise ConnectionRefusedError
         self.process.add_stream(stream)
         self.process.spawn(self._serve, stream)
 
@@ -785,7 +799,6 @@
 
     :ivar violations: broken rules, with their times.
     :ivar history: what happened, for the message of a failed test.
-    :ivar starts: number of runs that workers started.
     :ivar acked_done: tasks whose end as done has been acknowledged.
     :ivar clock_rate: how fast the clocks of workers are.
     :ivar durations: seconds that the tasks of a job run.
@@ -801,7 +814,6 @@
         self.violations: list[str] = []
         self.history: list[str] = []
         self.acked_done: set[str] = set()
-        self.starts = 0
         self.clock_rate = 0.98
         self.durations: dict[str, float] = {}
         self.sides: list[Side] = []
@@ -892,7 +904,6 @@
 
     def check_start(self, run: fleet.RunId, life: Incarnation) -> None:
         """Check that a task that starts runs nowhere and is not done."""
-        self.starts += 1
         for other in self.find_runs(run.task):
             self.report(f"TWICE {run} at {life.name} beside {other}")
         if run.task in self.acked_done:
