Ends: a task that a given-up run has done is done

What callers saw: a task that ran again after it was done. Cause: the end of a run that its owner had given up was acknowledged, so that the worker dropped it, and had no effect: the next run went on, or started. Evidence: test_end_listed_after_the_silence_timeout_is_not_lost, test_end_listed_late_ends_the_next_run_before_its_start and a random history with standstills failed before. Change: such an end finishes its task, and the next run is stopped.

--- a/kingcuplever/process/scheduling/scheduler_state.py
+++ b/kingcuplever/process/scheduling/scheduler_state.py
@@ -129,12 +129,16 @@
 
     def find_group(self, run: fleet.RunId) -> job_state.Group | None:
         """Return the group whose current run is this one, if any."""
+        group = self.find_task_group(run)
+        return group if group is not None and group.run == run.run else None
+
+    def find_task_group(self, run: fleet.RunId) -> job_state.Group | None:
+        """Return the open group of a run's task, whatever its current run."""
         task = model.parse_task_name(run.task)
         job = None if task is None else self.jobs.get(task.job)
         if job is None or task is None:
             return None
-        group = job.find_group(task)
-        return group if group is not None and group.run == run.run else None
+        return job.find_group(task)
 
     def find_request(self, run: fleet.RunId) -> model.Resources | None:
         """Return what a run of a known job takes, also a former run."""
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -198,6 +198,8 @@
             )
             self._state.queue_log_line(logs.Component.TASK, text)
             self._apply_outcome(group, run, worker, ended, now, wall_ms)
+        else:
+            self._apply_late_end(run, worker, ended, now, wall_ms)
         newest = max(
             self._state.deferred.acks.get(worker.name, 0), ended.number
         )
@@ -228,6 +230,37 @@
         self._jobs.release_task(group, run, worker, ended.outcome, now)
         self._jobs.enforce_attempt_limit(group, wall_ms)
 
+    def _apply_late_end(
+        self,
+        run: fleet.RunId,
+        worker: fleet.Worker,
+        ended: fleet.EndedTask,
+        now: float,
+        wall_ms: int,
+    ) -> None:
+        """Apply an end of a run that has been given up, if its task is done.
+
+        The worker drops the end once it is acknowledged, so it counts now.
+        Another outcome may have been applied before its acknowledgement was
+        lost, so it changes nothing.
+        """
+        group = self._state.find_task_group(run)
+        if (
+            group is None
+            or group.phase == job_state.DONE
+            or group.spec.long_running
+            or ended.outcome != "done"
+        ):
+            return
+        text = (
+            f"Task {ended.task} run {ended.run} on {worker.name}, given up"
+            f" before: done, end {ended.number}."
+        )
+        self._state.queue_log_line(logs.Component.TASK, text)
+        self._jobs.finish_group(group, now, wall_ms)
+        group.stop_reason = "done by a former run"
+        self._state.order_group_stop(group)
+
     def _remove_older_incarnations(
         self, worker: fleet.Worker, now: float
     ) -> None:
--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -39,6 +39,12 @@
 LEASE_MS: Final = 6000
 # How late a call without an answer may be carried out.
 LATE_CALL_S: Final = 12.0
+# The silence after which an owner starts the tasks of a side elsewhere.
+SIDE_TIMEOUT_S: Final = leases.compute_side_timeout_s(
+    LEASE_MS / 1000,
+    leases.compute_autonomous_renewal_s(LEASE_MS / 1000),
+    LATE_CALL_S,
+)
 LOG: Final = "log"
 Registration = executors.Registration
 _FIRST_PORT: Final = 7000
@@ -847,11 +853,7 @@
 
     def make_scheduler(self, epoch: int) -> schedulers.Scheduler:
         """Create the scheduler of an owner's term."""
-        lease_s = LEASE_MS / 1000
-        lost_after_s = leases.compute_side_timeout_s(
-            lease_s, leases.compute_autonomous_renewal_s(lease_s), LATE_CALL_S
-        )
-        timing = schedulers.Timing(lost_after_s, 1e6)
+        timing = schedulers.Timing(SIDE_TIMEOUT_S, 1e6)
         scheduler = CheckedScheduler(self, timing, epoch)
         queues = {queue.name: queue for queue in (pools.NORMAL, pools.BATCH)}
         scheduler.set_policy(model.Policy(1, queues, {}))
--- a/tests/test_side_histories.py
+++ b/tests/test_side_histories.py
@@ -8,7 +8,6 @@
 import pytest
 import trio
 
-from kingcuplever.process import leases
 from kingcuplever.process.scheduling import fleet
 from tests import side_faults
 from tests import side_hosts
@@ -17,7 +16,7 @@
 JOB = "5c0e7a21d94b36f8"
 FILLER = "00000000000000f1"
 # Silence of a side after which its owner gives its runs up.
-SILENCE_S = leases.compute_side_timeout_s(side_world.LEASE_MS / 1000)
+SILENCE_S = side_world.SIDE_TIMEOUT_S
 # Longer than any timeout of the product.
 LONG_S = 60.0 + SILENCE_S
 # Histories in one run of each property, and steps of each.
