--- a/tools/day_forms.py
+++ b/tools/day_forms.py
@@ -319,8 +319,8 @@
             ("fronts", "R"),
             ("some", "S"),
             ("some lossy", "R"),
-            ("one_way", "RE"),
-            ("reborn", "SE"),
+            ("one_way|some one_way|some lossy one_way", "RE"),
+            ("reborn|some reborn", "SE"),
         ),
         "share = 0.12",
         lasts=True,
@@ -329,7 +329,7 @@
     _Family(
         "platform_down",
         (
-            ("silent|busy|reset", "O"),
+            ("|silent|busy|reset", "O"),
             ("silent lapse|busy lapse|reset lapse", "ORW"),
             ("silent log|busy log|reset log", "O"),
             ("silent tables|busy tables|reset tables", "W"),
