Groups: a failure of the current run is on the log before its end

What callers could see: more runs of a gang's task than its attempts allow. Cause: the record of a group held the failures of its former runs only; that of the current one was in memory until its last member had left, though the failed end was acknowledged before. A new owner began to count anew. Change: the record counts the current run's failure.

--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -182,7 +182,7 @@
             self.first,
             self.run,
             self.phase,
-            self.failures,
+            self.known_failures,
             self.checkpoint,
             tuple(self.assigned_workers) if any(self.assigned_workers) else (),
         )
@@ -246,10 +246,15 @@
         self.assigned_workers = list(workers)
         self._reset_run()
 
+    @property
+    def known_failures(self) -> int:
+        """Number of runs that have failed, with the current one."""
+        counts_now = self.has_failed and not self.spec.long_running
+        return self.failures + (1 if counts_now else 0)
+
     def end_run(self, not_before: float, now: float) -> None:
         """End the run; the group waits to be placed again."""
-        if self.has_failed and not self.spec.long_running:
-            self.failures += 1
+        self.failures = self.known_failures
         self.phase = WAITING
         self.not_before = not_before
         self.ready_at = now
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -237,7 +237,7 @@
         """Fail the job of a group that has used up its attempts."""
         job = group.job
         max_attempts = self._state.queue_policy_of(job).most_attempts
-        failures = group.failures + (1 if group.has_failed else 0)
+        failures = group.known_failures
         if group.spec.long_running or group.phase == job_state.DONE:
             return
         if failures >= max_attempts and not job.has_ended:
--- /dev/null
+++ b/tests/test_takeovers.py
@@ -0,0 +1,75 @@
+"""What a new owner makes of work that its predecessor had begun to change."""
+
+from kingcuplever.process.stored import maintenance_records
+from tests import pool as pools
+from tests import test_maintenance as rounds
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def run_gang_of_two() -> pools.Pool:
+    """Run a gang with one member on each of two workers."""
+    pool = pools.Pool(workers=2)
+    step = pools.step(2, 8, gang=True, estimate_ms=60_000)
+    pool.submit(JOB, pools.spec(step))
+    pool.settle(10)
+    return pool
+
+
+def fail_member_and_replace_owner(pool: pools.Pool) -> pools.FakeWorker:
+    """Let one member fail; return the other's worker.
+
+    Its owner is replaced before it has reached that worker.
+    """
+    rest, failing = pool.workers
+    rest.is_disconnected = True
+    failing.end_run(next(iter(failing.running)), "failed")
+    pool.settle(2)
+    pool.fail_over()
+    rest.is_disconnected = False
+    return rest
+
+
+# Guards against a job shown as completed, of which a task failed: the owner
+# was replaced between the end of one member and the stop of the other.
+def test_new_owner_stops_the_rest_of_a_gang() -> None:
+    pool = run_gang_of_two()
+    rest = fail_member_and_replace_owner(pool)
+    pool.advance_time(1.0)
+    for run in [run for run in rest.running if run.run == 1]:
+        rest.end_run(run, "done")
+    pool.advance_time(1.0)
+    assert pool.get_job_state(JOB) == "running"
+
+
+# Guards against more starts than attempts: the owner was replaced between the
+# end of one member as failed, which it had acknowledged, and the other's end.
+def test_new_owner_counts_the_failure_of_a_gang() -> None:
+    pool = run_gang_of_two()
+    for _ in range(pools.NORMAL.most_attempts):
+        rest = fail_member_and_replace_owner(pool)
+        for run in [*rest.running]:
+            rest.end_run(run, "broken")
+        pool.advance_time(2.0)
+    assert not pool.running_tasks(JOB)
+    assert pool.get_job_state(JOB) == "failed"
+
+
+# Guards against more hosts down than a round allows: the former owner's call
+# for one of them is in doubt, or still to be sent after a suspension, and the
+# fencing token of a call for another host does not stop it.
+def test_new_owner_first_settles_the_host_in_doubt() -> None:
+    pool = pools.Pool(workers=2)
+    pool.submit(JOB, pools.spec(pools.step(1, 8, estimate_ms=60_000)))
+    pool.settle()
+    rounds.order_round(pool, 600.0)
+    (in_doubt,) = rounds.run_cycle(pool)
+    pool.end_tasks(JOB, "done")
+    pool.settle()
+    progress = pool.scheduler.maintenance.open_progress()
+    pool.append([maintenance_records.encode_progress(p) for p in progress])
+    pool.fail_over()
+    pool.settle()
+    rounds.order_round(pool, 600.0)
+    for step in rounds.run_cycle(pool):
+        assert step.host == in_doubt.host
