Takeover: a gang that has lost a member is stopped by its new owner

What callers could see: a gang's job completed though a member had failed. Cause: the new owner took a partly released run for a sound one, as the stop that its predecessor was about to order is not on the log. Change: the rest of such a run is stopped when it is adopted.

--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -108,6 +108,9 @@
             worker.allocate(run, group.spec.resources)
             if group.phase == job_state.ASSIGNED:
                 self._state.order_start(worker, group, run)
+        if group.phase == job_state.ASSIGNED and "" in group.assigned_workers:
+            group.stop_reason = "broken before the takeover"
+            self._state.order_group_stop(group)
 
     def open_due_occurrences(self, now: float, wall_ms: int) -> None:
         """Open the due occurrences of all jobs."""
