Side: a worker that deregisters is gone once nobody listens at its address

What callers could see: a task run twice at a time. Cause: a worker deregisters and then ends; the side told the owner at once that it was gone, and its tasks were started elsewhere while it was still up. Change: from then on its leases are not renewed and it takes no new work; it is gone once its host refuses a connection, or another incarnation answers. Ruled out: waiting for the last lease (16 s and more for each planned leave).

--- a/kingcuplever/connection/http_client.py
+++ b/kingcuplever/connection/http_client.py
@@ -133,7 +133,9 @@
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise errors.PlatformFailed(
-                f"{self._base} can't be reached ({error}).", sent=False
+                f"{self._base} can't be reached ({error}).",
+                sent=False,
+                refused=isinstance(error, httpcore.ConnectError),
             ) from error
         except (httpcore.NetworkError, httpcore.ProtocolError) as error:
             raise errors.PlatformFailed(
--- a/kingcuplever/errors.py
+++ b/kingcuplever/errors.py
@@ -233,12 +233,16 @@
     """A call to a worker, a target or a platform service failed.
 
     :ivar sent: whether the request may have reached it.
+    :ivar refused: whether its host refused the connection.
     """
 
-    def __init__(self, detail: str, sent: bool = True) -> None:
-        """Store whether the request may have been sent."""
+    def __init__(
+        self, detail: str, sent: bool = True, refused: bool = False
+    ) -> None:
+        """Store how far the request got."""
         super().__init__(detail)
         self.sent = sent
+        self.refused = refused
 
 
 class ExecutorReplaced(KingcupleverError):
--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -66,6 +66,8 @@
         self._ended_incarnations: list[executors.Registration] = []
         self._registered = trio.Event()
         self._nursery: trio.Nursery | None = None
+        # Incarnation that has deregistered and may not have ended yet.
+        self._leaving = ""
 
     def _get_owner_silence_s(self) -> float:
         """Return the seconds since the last contact to an owner."""
@@ -95,13 +97,20 @@
             self._signal_change()
 
     def deregister(self, incarnation: str) -> None:
-        """End an incarnation that the worker has deregistered."""
+        """Expect the end of an incarnation that the worker has deregistered.
+
+        Its tasks run until it has ended: nobody listens at its address then,
+        or another incarnation.
+        """
         current = self._state.incarnations.current
-        if (
+        if current is None or current.incarnation != incarnation:
             self._state.incarnations.mark_ended(incarnation)
-            and current is not None
-        ):
-            self._end_incarnation(current, "it deregistered")
+            return
+        self._leaving = incarnation
+        logs.info(
+            logs.Component.MEMBER, f"Worker {incarnation} has deregistered."
+        )
+        self._signal_change()
 
     def record_epoch(self, epoch: int) -> None:
         """Record the epoch of an owner, which permits no starts or renewals.
@@ -160,6 +169,7 @@
     def _make_report(
         self, registration: executors.Registration, gone: bool
     ) -> messages.WorkerReport:
+        is_leaving = registration.incarnation == self._leaving
         task_list = None if gone else self._state.task_list
         running = () if task_list is None else task_list.running
         ended = () if task_list is None else task_list.ended
@@ -171,7 +181,7 @@
             registration.pool,
             *registration.capacity,
             registration.labels,
-            registration.draining,
+            registration.draining or is_leaving,
             registration.time_left_ms(trio.current_time()),
             gone,
             tuple(messages.RunningRow(*row) for row in running),
@@ -206,7 +216,7 @@
             self._state.clock.is_known
             and self._state.incarnations.candidate is None
         ):
-            if self._state.may_act:
+            if self._state.may_act and incarnation != self._leaving:
                 lease_end_ms = self._state.clock.compute_lease_end_ms(
                     self._lease_ms, now
                 )
@@ -218,7 +228,9 @@
                 incarnation, self._state.epoch, acked, lease_end_ms, wait_ms
             )
         except errors.ExecutorReplaced:
-            self._handle_changed_incarnation(registration)
+            self._handle_ended_incarnation(
+                registration, "another incarnation answers"
+            )
             return
         except errors.ExecutorFenced:
             logs.warn(
@@ -227,6 +239,9 @@
             await trio.sleep(_RETRY_S)
             return
         except errors.PlatformFailed as error:
+            if error.refused and incarnation == self._leaving:
+                self._handle_ended_incarnation(registration, "it has left")
+                return
             logs.warn(
                 logs.Component.TASK,
                 f"No task list of {incarnation}: {error.detail}",
@@ -265,12 +280,12 @@
         if previous is None or _has_task_changes(previous, task_list):
             self._signal_change()
 
-    def _handle_changed_incarnation(
-        self, registration: executors.Registration
+    def _handle_ended_incarnation(
+        self, registration: executors.Registration, reason: str
     ) -> None:
-        """Handle that another incarnation answers at the worker's address."""
+        """Handle that an incarnation no longer answers at its address."""
         if self._state.incarnations.mark_ended(registration.incarnation):
-            self._end_incarnation(registration, "another incarnation answers")
+            self._end_incarnation(registration, reason)
 
     def _end_incarnation(
         self, registration: executors.Registration, reason: str
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -33,6 +33,7 @@
     :ivar acked: number of the last end that was acknowledged.
     :ivar lease_end_ms: latest end of the lease so far.
     :ivar fails_stops: whether stops have no effect and get no answer.
+    :ivar has_ended: whether nobody listens at its address.
     """
 
     def __init__(self) -> None:
@@ -48,8 +49,11 @@
         self.acked = 0
         self.lease_end_ms = 0
         self.fails_stops = False
+        self.has_ended = False
 
     def _check(self, incarnation: str) -> None:
+        if self.has_ended:
+            raise errors.PlatformFailed("refused", sent=False, refused=True)
         if incarnation != self.incarnation:
             raise errors.ExecutorReplaced("another incarnation")
 
@@ -524,3 +528,22 @@
         assert fake.lease_end_ms > lease_end_ms
 
     scenario()
+
+
+# Guards against a task that runs twice: a worker that has deregistered runs
+# its tasks until it ends.
+@with_worker_agent
+async def test_deregistered_worker_is_gone_once_nobody_listens(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    agent.apply_orders(make_orders(1, 1))
+    await trio.sleep(1.5)
+    agent.deregister("i-1")
+    await trio.sleep(3.0)
+    (report,) = agent.make_reports()
+    assert report.draining
+    assert [row.run for row in report.running] == [1]
+    fake.has_ended = True
+    await trio.sleep(1.5)
+    (report,) = agent.make_reports()
+    assert (report.worker, report.gone) == ("i-1@side-1", True)
