Sides: an end is logged and reported with its evidence

Nothing that callers see changes yet.

A side now keeps when its worker last answered, when a connection was first refused, whether other hosts answered before and after that, and which starts no list has shown yet. The line of an incarnation's end holds them; the report of an end holds the runs and whether it was a crash, each report says whether nobody listens at the worker's address, and an end is reported until the owner says that the log has it (an older owner says nothing, which counts as before).

Tests: crash in contact, unanswered start, draining and deregistered worker, cut of the host, silent worker, repeated report. They failed before: the messages lacked the fields.

--- a/kingcuplever/gen/peer/ttypes.py
+++ b/kingcuplever/gen/peer/ttypes.py
@@ -1229,11 +1229,13 @@
      - refused
      - clock_ms
      - orders
+     - unreachable
+     - crashed
 
     """
 
 
-    def __init__(self, worker=None, side=None, data_centre=None, pool=None, cpu_milli=None, memory_mb=None, gpus=None, labels=None, draining=None, remaining_ms=None, gone=None, running=None, ended=None, refused=None, clock_ms=None, orders=None,):
+    def __init__(self, worker=None, side=None, data_centre=None, pool=None, cpu_milli=None, memory_mb=None, gpus=None, labels=None, draining=None, remaining_ms=None, gone=None, running=None, ended=None, refused=None, clock_ms=None, orders=None, unreachable=None, crashed=None,):
         self.worker = worker
         self.side = side
         self.data_centre = data_centre
@@ -1250,6 +1252,8 @@
         self.refused = refused
         self.clock_ms = clock_ms
         self.orders = orders
+        self.unreachable = unreachable
+        self.crashed = crashed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1363,6 +1367,16 @@
                     self.orders = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.BOOL:
+                    self.unreachable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.BOOL:
+                    self.crashed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1449,6 +1463,14 @@
             oprot.writeFieldBegin('orders', TType.I64, 16)
             oprot.writeI64(self.orders)
             oprot.writeFieldEnd()
+        if self.unreachable is not None:
+            oprot.writeFieldBegin('unreachable', TType.BOOL, 17)
+            oprot.writeBool(self.unreachable)
+            oprot.writeFieldEnd()
+        if self.crashed is not None:
+            oprot.writeFieldBegin('crashed', TType.BOOL, 18)
+            oprot.writeBool(self.crashed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1472,13 +1494,15 @@
     Attributes:
      - epoch
      - proof_age_ms
+     - recorded
 
     """
 
 
-    def __init__(self, epoch=None, proof_age_ms=None,):
+    def __init__(self, epoch=None, proof_age_ms=None, recorded=None,):
         self.epoch = epoch
         self.proof_age_ms = proof_age_ms
+        self.recorded = recorded
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1499,6 +1523,11 @@
                     self.proof_age_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.recorded = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1517,6 +1546,10 @@
             oprot.writeFieldBegin('proof_age_ms', TType.I64, 2)
             oprot.writeI64(self.proof_age_ms)
             oprot.writeFieldEnd()
+        if self.recorded is not None:
+            oprot.writeFieldBegin('recorded', TType.BOOL, 3)
+            oprot.writeBool(self.recorded)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3016,12 +3049,15 @@
     (14, TType.LIST, 'refused', (TType.STRUCT, [RefusedRow, None], False), None, ),  # 14
     (15, TType.I64, 'clock_ms', None, None, ),  # 15
     (16, TType.I64, 'orders', None, None, ),  # 16
+    (17, TType.BOOL, 'unreachable', None, None, ),  # 17
+    (18, TType.BOOL, 'crashed', None, None, ),  # 18
 )
 all_structs.append(WorkerReply)
 WorkerReply.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'epoch', None, None, ),  # 1
     (2, TType.I64, 'proof_age_ms', None, None, ),  # 2
+    (3, TType.BOOL, 'recorded', None, None, ),  # 3
 )
 all_structs.append(StartRow)
 StartRow.thrift_spec = (
--- a/kingcuplever/messages.py
+++ b/kingcuplever/messages.py
@@ -193,9 +193,16 @@
     :ivar worker: names of the worker's incarnation and of the side.
     :ivar remaining_ms: minimum time until a draining worker leaves.
     :ivar gone: whether the incarnation has ended, and all its tasks with it.
+    :ivar running: tasks on the worker; those that had started there if it is
+        gone.
     :ivar clock_ms: the worker's own clock when it made these lists.
     :ivar orders: number of the owner's orders that the side follows, 0 for
         none; absent from older releases.
+    :ivar unreachable: whether nobody listens at the worker's address; absent
+        from older releases.
+    :ivar crashed: whether the incarnation has ended by a crash, while its
+        side was in contact with it and with other hosts; absent from older
+        releases.
     """
 
     worker: str
@@ -214,6 +221,8 @@
     refused: tuple[RefusedRow, ...]
     clock_ms: int
     orders: int | None = None
+    unreachable: bool | None = None
+    crashed: bool | None = None
 
 
 class WorkerReply(NamedTuple):
@@ -221,10 +230,13 @@
 
     :ivar proof_age_ms: time since the log last confirmed the ownership;
         absent from older releases.
+    :ivar recorded: whether the log has what the report leads to; absent from
+        older releases, for which it must be assumed.
     """
 
     epoch: int
     proof_age_ms: int | None = None
+    recorded: bool | None = None
 
 
 class StartRow(NamedTuple):
--- a/kingcuplever/peer.thrift
+++ b/kingcuplever/peer.thrift
@@ -56,10 +56,13 @@
   5: i64 cpu_milli, 6: i64 memory_mb, 7: i32 gpus, 8: list<string> labels,
   9: bool draining, 10: i64 remaining_ms, 11: bool gone,
   12: list<RunningRow> running, 13: list<EndedRow> ended,
-  14: list<RefusedRow> refused, 15: i64 clock_ms, 16: optional i64 orders
+  14: list<RefusedRow> refused, 15: i64 clock_ms, 16: optional i64 orders,
+  17: optional bool unreachable, 18: optional bool crashed
 }
 
-struct WorkerReply { 1: i64 epoch, 2: optional i64 proof_age_ms }
+struct WorkerReply {
+  1: i64 epoch, 2: optional i64 proof_age_ms, 3: optional bool recorded
+}
 
 struct StartRow {
   1: string task, 2: i32 run, 3: string payload, 4: string saved,
--- a/kingcuplever/process/agent/order_reconciler.py
+++ b/kingcuplever/process/agent/order_reconciler.py
@@ -181,17 +181,25 @@
             lease_end_ms = self._state.clock.compute_lease_end_ms(
                 self._lease_ms, now
             )
+            is_first_try = run not in self._state.unlisted_starts
+            self._state.unlisted_starts.add(run)
             try:
                 answer = await self._worker.start(
                     incarnation, order, lease_end_ms, self._state.epoch
                 )
             except errors.ExecutorReplaced:
+                if is_first_try:
+                    self._state.unlisted_starts.discard(run)
                 return
             except errors.PlatformFailed as error:
+                if is_first_try and not error.sent:
+                    self._state.unlisted_starts.discard(run)
                 text = f"Start of {run.task} run {run.run}: {error.detail}"
                 logs.warn(logs.Component.TASK, text)
                 await trio.sleep(_RETRY_S)
                 continue
+            if is_first_try and not answer.accepted:
+                self._state.unlisted_starts.discard(run)
             outcome = answer.reason or "accepted"
             self._order_counter.labels("start", outcome).inc()
             if answer.accepted:
@@ -263,6 +271,7 @@
         The next incarnation knows nothing of the run.
         """
         if self._state.incarnation == incarnation:
+            self._state.unlisted_starts.discard(run)
             self.refused[run] = reason
             self._on_change()
 
--- a/kingcuplever/process/agent/owner_link.py
+++ b/kingcuplever/process/agent/owner_link.py
@@ -113,6 +113,8 @@
         except (OSError, trio.TooSlowError) as error:
             text = f"Can't connect to owner {owner.entry}: {error!r}"
             logs.warn(logs.Component.OWNER, text)
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                self._agent.record_host_contact()
             return
         try:
             async with peers.run_peer(stream, self._handle_message) as peer:
@@ -141,7 +143,9 @@
                 # is neither the reply's arrival nor its sending that counts.
                 sent_at = clock.read_moment()
                 reply = await _send_report(peer, row)
-                self._agent.mark_reported(row)
+                self._agent.record_host_contact()
+                if reply.recorded is not False:
+                    self._agent.mark_reported(row)
                 age_s = (reply.proof_age_ms or 0) / 1000
                 self._agent.record_owner_contact(
                     reply.epoch, sent_at.subtract(age_s)
--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -6,6 +6,7 @@
 """
 
 from typing import Final
+from typing import NamedTuple
 
 import trio
 
@@ -28,6 +29,20 @@
 _UNACKED_PAUSE_S: Final = 0.05
 # Pause after a failed call, and poll interval while no call can be made.
 _RETRY_S: Final = 0.15
+# Runs named in the log line about the end of an incarnation.
+_MAX_LOGGED_RUNS: Final = 16
+
+
+class _EndedIncarnation(NamedTuple):
+    """An incarnation whose end the owner has not recorded yet.
+
+    :ivar runs: the runs that had started there.
+    :ivar crashed: whether it has crashed while in contact.
+    """
+
+    registration: executors.Registration
+    runs: tuple[fleet.RunningTask, ...]
+    crashed: bool
 
 
 class WorkerAgent:
@@ -63,7 +78,7 @@
         self._orders = order_reconciler.OrderReconciler(
             self._state, worker, lease_ms, metrics, self._signal_change
         )
-        self._ended_incarnations: list[executors.Registration] = []
+        self._ended_incarnations: list[_EndedIncarnation] = []
         self._registered = trio.Event()
         self._nursery: trio.Nursery | None = None
         # Incarnation that has deregistered and may not have ended yet.
@@ -127,6 +142,10 @@
         """
         self._state.record_owner_contact(epoch, moment)
 
+    def record_host_contact(self) -> None:
+        """Record that another host has answered, whatever it said."""
+        self._state.contact.record_host_contact()
+
     def apply_orders(self, orders: messages.WorkerOrders) -> bool:
         """Apply the owner's orders; return false if their epoch is stale."""
         if orders.epoch < self._state.epoch:
@@ -142,38 +161,46 @@
     def make_reports(self) -> list[messages.WorkerReport]:
         """Make the reports that are due, ended incarnations first."""
         rows = [
-            self._make_report(registration, True)
-            for registration in self._ended_incarnations
+            self._make_report(ended.registration, ended)
+            for ended in self._ended_incarnations
         ]
         if (
             self._state.incarnations.current is not None
             and self._state.task_list is not None
         ):
             rows.append(
-                self._make_report(self._state.incarnations.current, False)
+                self._make_report(self._state.incarnations.current, None)
             )
         return rows
 
     def mark_reported(self, report: messages.WorkerReport) -> None:
-        """Record that the owner has acknowledged a report."""
+        """Record that the log has what a report has led to."""
         if report.gone:
             self._ended_incarnations = [
-                registration
-                for registration in self._ended_incarnations
-                if self._make_worker_name(registration) != report.worker
+                ended
+                for ended in self._ended_incarnations
+                if self._make_worker_name(ended.registration) != report.worker
             ]
 
     def _make_worker_name(self, registration: executors.Registration) -> str:
         return fleet.worker_name(registration.incarnation, self._side)
 
     def _make_report(
-        self, registration: executors.Registration, gone: bool
+        self,
+        registration: executors.Registration,
+        end: _EndedIncarnation | None,
     ) -> messages.WorkerReport:
+        """Make the report about an incarnation.
+
+        :param end: its end; None if it is the current one.
+        """
         is_leaving = registration.incarnation == self._leaving
-        task_list = None if gone else self._state.task_list
+        task_list = self._state.task_list if end is None else None
         running = () if task_list is None else task_list.running
         ended = () if task_list is None else task_list.ended
-        refused = {} if gone else self._orders.refused
+        refused = self._orders.refused if end is None else {}
+        if end is not None:
+            running = end.runs
         return messages.WorkerReport(
             self._make_worker_name(registration),
             self._side,
@@ -183,7 +210,7 @@
             registration.labels,
             registration.draining or is_leaving,
             registration.time_left_ms(trio.current_time()),
-            gone,
+            end is not None,
             tuple(messages.RunningRow(*row) for row in running),
             tuple(messages.EndedRow(*row) for row in ended),
             tuple(
@@ -192,6 +219,8 @@
             ),
             0 if task_list is None else task_list.clock_ms,
             self._orders.number,
+            end is None and self._state.contact.is_refused,
+            end is not None and end.crashed,
         )
 
     def _signal_change(self) -> None:
@@ -221,7 +250,9 @@
                     self._lease_ms, now
                 )
         # The first list of an incarnation reads its clock; it must not wait.
-        wait_ms = 0 if lease_end_ms is None else _LIST_WAIT_MS
+        may_wait = lease_end_ms is not None
+        may_wait = may_wait and not self._state.contact.is_refused
+        wait_ms = _LIST_WAIT_MS if may_wait else 0
         acked = 0 if self._state.incarnations.candidate else self._orders.acked
         try:
             task_list = await self._worker.renew_and_list(
@@ -239,14 +270,7 @@
             await trio.sleep(_RETRY_S)
             return
         except errors.PlatformFailed as error:
-            if error.refused and incarnation == self._leaving:
-                self._handle_ended_incarnation(registration, "it has left")
-                return
-            logs.warn(
-                logs.Component.TASK,
-                f"No task list of {incarnation}: {error.detail}",
-            )
-            await trio.sleep(_RETRY_S)
+            await self._handle_failed_list(registration, error)
             return
         self._apply_task_list(registration, task_list, now)
         if task_list.ended:
@@ -254,6 +278,26 @@
         elif lease_end_ms is None and self._state.clock.is_known:
             await trio.sleep(_RETRY_S)
 
+    async def _handle_failed_list(
+        self,
+        registration: executors.Registration,
+        error: errors.PlatformFailed,
+    ) -> None:
+        """Handle a list without an answer, and pause before the next."""
+        incarnation = registration.incarnation
+        if error.refused and incarnation == self._leaving:
+            self._handle_ended_incarnation(registration, "it has left")
+            return
+        logs.warn(
+            logs.Component.TASK,
+            f"No task list of {incarnation}: {error.detail}",
+        )
+        is_current = incarnation == self._state.incarnation
+        if error.refused and is_current:
+            if self._state.contact.record_refusal():
+                self._signal_change()
+        await trio.sleep(_RETRY_S)
+
     def _apply_task_list(
         self,
         registration: executors.Registration,
@@ -274,9 +318,11 @@
         ):
             return
         self._state.clock.update(task_list.clock_ms, trio.current_time())
+        if self._state.contact.is_refused:
+            self._signal_change()
+        self._state.contact.record_answer()
         previous = self._state.task_list
-        self._state.task_list = task_list
-        self._state.task_list_requested_at = requested_at
+        self._state.apply_task_list(task_list, requested_at)
         if previous is None or _has_task_changes(previous, task_list):
             self._signal_change()
 
@@ -284,17 +330,44 @@
         self, registration: executors.Registration, reason: str
     ) -> None:
         """Handle that an incarnation no longer answers at its address."""
+        current = self._state.incarnations.current
         if self._state.incarnations.mark_ended(registration.incarnation):
-            self._end_incarnation(registration, reason)
+            assert current is not None
+            self._end_incarnation(current, reason)
 
     def _end_incarnation(
         self, registration: executors.Registration, reason: str
     ) -> None:
-        text = f"Worker {registration.incarnation} ended: {reason}."
-        logs.info(logs.Component.MEMBER, text)
-        self._ended_incarnations.append(registration)
+        is_leaving = (
+            registration.draining or registration.incarnation == self._leaving
+        )
+        contact = self._state.contact
+        end = _EndedIncarnation(
+            registration,
+            self._state.list_started_tasks(),
+            contact.saw_crash and not is_leaving,
+        )
+        self._log_end(end, reason)
+        self._ended_incarnations.append(end)
         self._reset_state()
 
+    def _log_end(self, end: _EndedIncarnation, reason: str) -> None:
+        """Log the end of an incarnation, and the evidence of its cause."""
+        contact = self._state.contact
+        refused = "never refused"
+        if contact.is_refused:
+            refused = f"refused {contact.silence_s:.2f} s after an answer"
+        names = [f"{row.task} run {row.run}" for row in end.runs]
+        more = len(names) - _MAX_LOGGED_RUNS
+        if more > 0:
+            names = [*names[:_MAX_LOGGED_RUNS], f"{more} more"]
+        text = (
+            f"Worker {end.registration.incarnation} ended: {reason};"
+            f" {'crashed in contact' if end.crashed else 'no crash seen'},"
+            f" {refused}; there were {', '.join(names) or 'no runs'}."
+        )
+        logs.info(logs.Component.MEMBER, text)
+
     def _reset_state(self) -> None:
         """Drop the state and the orders of the previous incarnation."""
         self._state.reset()
--- a/kingcuplever/process/agent/worker_state.py
+++ b/kingcuplever/process/agent/worker_state.py
@@ -2,6 +2,7 @@
 
 from kingcuplever import clock
 from kingcuplever.process.agent import executor as executors
+from kingcuplever.process.agent import worker_contact
 from kingcuplever.process.agent import worker_incarnations
 from kingcuplever.process import leases
 from kingcuplever.process.scheduling import fleet
@@ -13,6 +14,8 @@
     :ivar epoch: highest epoch of an owner that has been in contact.
     :ivar task_list: newest task list of the current incarnation.
     :ivar task_list_requested_at: monotonic time when it was requested.
+    :ivar unlisted_starts: runs that may have started since that list.
+    :ivar contact: contacts to the worker and to other hosts.
     """
 
     def __init__(self, autonomous_renewal_s: float) -> None:
@@ -28,6 +31,8 @@
         self.epoch = 0
         self.task_list: executors.TaskList | None = None
         self.task_list_requested_at = 0.0
+        self.unlisted_starts: set[fleet.RunId] = set()
+        self.contact = worker_contact.WorkerContact()
 
     @property
     def incarnation(self) -> str:
@@ -67,7 +72,27 @@
     def reset(self) -> None:
         """Drop the task list and clock of the previous incarnation."""
         self.task_list = None
+        self.unlisted_starts.clear()
         self.clock = leases.WorkerClock()
+        self.contact.reset()
+
+    def apply_task_list(
+        self, task_list: executors.TaskList, requested_at: float
+    ) -> None:
+        """Apply a newer list of the current incarnation."""
+        self.task_list = task_list
+        self.task_list_requested_at = requested_at
+        self.unlisted_starts = {
+            run for run in self.unlisted_starts if not has_run(task_list, run)
+        }
+
+    def list_started_tasks(self) -> tuple[fleet.RunningTask, ...]:
+        """Return the tasks that run, or may have started since the list."""
+        listed = () if self.task_list is None else self.task_list.running
+        return listed + tuple(
+            fleet.RunningTask(run.task, run.run, "", 0, 0)
+            for run in sorted(self.unlisted_starts)
+        )
 
     def has_run(self, run: fleet.RunId) -> bool:
         """Return whether the newest task list has a run."""
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -34,6 +34,7 @@
     :ivar lease_end_ms: latest end of the lease so far.
     :ivar fails_stops: whether stops have no effect and get no answer.
     :ivar has_ended: whether nobody listens at its address.
+    :ivar is_silent: whether it answers no call.
     """
 
     def __init__(self) -> None:
@@ -50,10 +51,13 @@
         self.lease_end_ms = 0
         self.fails_stops = False
         self.has_ended = False
+        self.is_silent = False
 
     def _check(self, incarnation: str) -> None:
         if self.has_ended:
             raise errors.PlatformFailed("refused", sent=False, refused=True)
+        if self.is_silent:
+            raise errors.PlatformFailed("no answer")
         if incarnation != self.incarnation:
             raise errors.ExecutorReplaced("another incarnation")
 
@@ -391,6 +395,124 @@
     assert (current.worker, current.gone) == ("i-2@side-1", False)
 
 
+async def end_worker(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor, contact: bool = True
+) -> messages.WorkerReport:
+    """End the worker, and begin its next incarnation after some seconds.
+
+    :param contact: whether another host answers the side meanwhile.
+    :return: the report of its end.
+    """
+    if contact:
+        agent.record_host_contact()
+    fake.has_ended = True
+    await trio.sleep(0.4)
+    if contact:
+        agent.record_host_contact()
+    await trio.sleep(3.0)
+    fake.has_ended = False
+    fake.incarnation = "i-2"
+    fake.running.clear()
+    agent.register(make_registration("i-2"))
+    await trio.sleep(2.0)
+    return agent.make_reports()[0]
+
+
+# Guards against crashes that count for no task, or for one that had not begun.
+@with_worker_agent
+async def test_crash_in_contact_is_reported_with_the_started_runs(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    agent.apply_orders(make_orders(1, 1))
+    await trio.sleep(1.2)
+    agent.apply_orders(make_orders(2, 1, 2))
+    await trio.sleep(0.1)
+    fake.has_ended = True
+    agent.apply_orders(make_orders(3, 1, 2, 3))
+    report = await end_worker(agent, fake)
+    assert (report.gone, report.crashed) == (True, True)
+    assert [row.run for row in report.running] == [1, 2]
+
+
+# Guards against a start in doubt that is left out when its worker crashes.
+@with_worker_agent
+async def test_crash_is_reported_with_an_unanswered_start(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    fake.unanswered_starts = 1
+    agent.apply_orders(make_orders(1, 1))
+    await trio.sleep(0.05)
+    report = await end_worker(agent, fake)
+    assert [row.run for row in report.running] == [1]
+
+
+# Guards against crashes that count for the tasks of a worker that left.
+@pytest.mark.parametrize("sign", ["draining", "deregistered"])
+def test_end_of_a_leaving_worker_is_no_crash(sign: str) -> None:
+    @with_worker_agent
+    async def test(
+        agent: worker_agent.WorkerAgent, fake: FakeExecutor
+    ) -> None:
+        agent.apply_orders(make_orders(1, 1))
+        await trio.sleep(1.2)
+        if sign == "draining":
+            agent.register(make_registration(sequence=2, draining=True))
+        else:
+            agent.deregister("i-1")
+        report = await end_worker(agent, fake)
+        assert (report.gone, report.crashed) == (True, False)
+
+    test()
+
+
+# Guards against crashes that count for the tasks of a host that was cut off.
+@with_worker_agent
+async def test_end_behind_a_cut_of_the_host_is_no_crash(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    agent.record_host_contact()
+    report = await end_worker(agent, fake, contact=False)
+    assert (report.gone, report.crashed) == (True, False)
+
+
+# Guards against the same for a worker that was silent before it ended.
+@with_worker_agent
+async def test_end_of_a_silent_worker_is_no_crash(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    fake.is_silent = True
+    await trio.sleep(4.0)
+    fake.is_silent = False
+    report = await end_worker(agent, fake)
+    assert (report.gone, report.crashed) == (True, False)
+
+
+# Guards against work that is sent to a worker that nobody can reach.
+@with_worker_agent
+async def test_unreachable_worker_is_reported_at_once(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    changed = agent.changed
+    fake.has_ended = True
+    await trio.sleep(1.3)
+    assert changed.is_set()
+    assert agent.make_reports()[0].unreachable
+    fake.has_ended = False
+    await trio.sleep(0.5)
+    assert not agent.make_reports()[0].unreachable
+
+
+# Guards against a crash that only a dead owner knew.
+@with_worker_agent
+async def test_end_is_reported_until_it_is_recorded(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    report = await end_worker(agent, fake)
+    assert agent.make_reports()[0] == report
+    agent.mark_reported(report)
+    assert not agent.make_reports()[0].gone
+
+
 @with_worker_agent
 async def test_late_registration_of_an_ended_incarnation_is_ignored(
     agent: worker_agent.WorkerAgent, fake: FakeExecutor
