--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -55,6 +55,12 @@
 _READ_PERIOD_S: Final = 0.06
 _STOP_S: Final = 0.9
 _CLAIM_TRIES: Final = 10
+# When a deadly task crashes its worker, from its start, and how long the
+# worker takes to come back.
+_DEADLY_AFTER_S: Final = 0.01
+_BACK_AFTER_S: Final = 3.3
+# Most starts of a deadly task after three workers have crashed under it.
+_MAX_LATE_STARTS: Final = 2
 # How long a task runs unless the world says otherwise.
 _LONG_S: Final = 1e6
 
@@ -206,6 +212,8 @@
         self.runs[run].ends_at = trio.current_time() + self._world.task_s(run)
         self._world.note(f"{run} started at {self.name}")
         self._signal()
+        if _job_of(run) in self._world.deadly:
+            self._world.spawn(self._world.crash_by_task, run, self)
         return executors.StartAnswer(True, "")
 
     def stop(self, call: Call) -> bool:
@@ -244,6 +252,8 @@
             with trio.move_on_at(until):
                 await changed.wait()
             now = trio.current_time()
+        if not self.is_up:
+            raise errors.PlatformFailed("the connection was reset")
         running = tuple(
             fleet.RunningTask(
                 run.task, run.run, "", int(now - state.started_at) % 99, 0
@@ -289,6 +299,7 @@
     :ivar faults: what happens to the next calls of each kind; none for a
         call that is answered.
     :ivar sent: kind and run of each call, in the order of their sending.
+    :ivar refuses: whether its host refuses connections, as it has crashed.
     """
 
     def __init__(self, world: "World", side: str) -> None:
@@ -298,6 +309,7 @@
         self.calls: list[Call] = []
         self.faults: dict[str, list[CallFault | None]] = {}
         self.sent: list[tuple[str, fleet.RunId]] = []
+        self.refuses = False
         self._world = world
         self._lives = 0
         self.current = self._begin_life()
@@ -317,6 +329,14 @@
         self.current.crash()
         self.current = self._begin_life()
 
+    async def crash(self, seconds: float) -> None:
+        """Crash, and be back after so many seconds."""
+        self.current.crash()
+        self.refuses = True
+        await trio.sleep(seconds)
+        self.refuses = False
+        self.current = self._begin_life()
+
     def _begin_life(self) -> Incarnation:
         self._lives += 1
         self.sequence = 0
@@ -354,6 +374,8 @@
         await trio.sleep(late_s)
         await self._world.network.wait_until_passable(self.side, self.host)
         self.calls.remove(call)
+        if self.refuses:
+            raise errors.PlatformFailed("refused", sent=False, refused=True)
         if not self.current.is_up:
             await trio.sleep_forever()
         if call.incarnation != self.current.name:
@@ -808,6 +830,8 @@
     :ivar acked_done: tasks whose end as done has been acknowledged.
     :ivar clock_rate: how fast the clocks of workers are.
     :ivar durations: seconds that the tasks of a job run.
+    :ivar deadly: jobs whose tasks crash each worker that starts them.
+    :ivar crashes: how often a worker has crashed under each task.
     """
 
     def __init__(
@@ -822,6 +846,9 @@
         self.acked_done: set[str] = set()
         self.clock_rate = 0.98
         self.durations: dict[str, float] = {}
+        self.deadly: set[str] = set()
+        self.crashes: dict[str, int] = {}
+        self._late_starts: dict[str, int] = {}
         self.sides: list[Side] = []
         self.entries: list[Entry] = []
         self._nursery = nursery
@@ -904,8 +931,25 @@
         """Check that no rule was broken."""
         assert not self.violations, "\n".join(self.history)
 
+    async def crash_by_task(self, run: fleet.RunId, life: Incarnation) -> None:
+        """Let a deadly task crash its worker soon after its start."""
+        await trio.sleep(_DEADLY_AFTER_S)
+        if run in life.runs:
+            self.crashes[run.task] = self.crashes.get(run.task, 0) + 1
+            side = next(s for s in self.sides if s.worker.current is life)
+            await side.worker.crash(_BACK_AFTER_S)
+
     def check_start(self, run: fleet.RunId, life: Incarnation) -> None:
-        """Check that a task that starts runs nowhere and is not done."""
+        """Check that a task that starts runs nowhere and is not done.
+
+        A deadly one that is started over and over breaks a rule as well.
+        """
+        if self.crashes.get(run.task, 0) >= 3:
+            late = self._late_starts[run.task] = (
+                self._late_starts.get(run.task, 0) + 1
+            )
+            if late > _MAX_LATE_STARTS:
+                self.report(f"BUDGET {run} at {life.name}, start {late}")
         for other in self.find_runs(run.task):
             self.report(f"TWICE {run} at {life.name} beside {other}")
         if run.task in self.acked_done:
