Crashes of workers count for the task that causes them

Cause: only ends that a worker lists as failed counted as attempts. A run lost with its worker was placed again at once and without limit, and nothing could tell which of the runs on a worker had crashed it.

Change: the crash of a worker, seen by a side in contact with it and with other hosts, is attributed. It is proven for a group that was alone on the worker; otherwise the runs that had started there come under suspicion, the fresh ones more. A suspect runs alone next, until it has been at work for longer than when the worker crashed. After two proven crashes its job is failed. Ends behind a cut, by leaving, by a loss of power or without contact count for nothing. The history is part of the job's record, and a side reports an end until the log has it, so the count outlives takeovers. A worker that nobody can reach gets no new work (runs were sent to it for 3 s).

--- a/kingcuplever/process/owner/job_owner.py
+++ b/kingcuplever/process/owner/job_owner.py
@@ -385,9 +385,11 @@
             )
         return self._term
 
-    def _make_reply(self) -> messages.WorkerReply:
+    def _make_reply(
+        self, report: messages.WorkerReport
+    ) -> messages.WorkerReply:
         """Make the current term's reply to a report."""
-        return self._get_term().make_reply()
+        return self._get_term().make_reply(report.worker)
 
     def _apply_report(self, status: fleet.WorkerStatus) -> None:
         """Apply a worker's status in the current term."""
--- a/kingcuplever/process/owner/owner_term.py
+++ b/kingcuplever/process/owner/owner_term.py
@@ -194,7 +194,7 @@
             worker.orders_changed = True
         self.wake()
 
-    def make_reply(self) -> messages.WorkerReply:
+    def make_reply(self, worker: str) -> messages.WorkerReply:
         """Make the reply to a report, which permits starts and renewals.
 
         Without the log, the age of the permission grows as soon as an outage
@@ -203,7 +203,8 @@
         age_s = self._producer.confirmed_at.elapsed_s()
         excess_s = max(0.0, age_s - self.scheduler.timing.log_outage_s)
         age_ms = int(min(excess_s * 1000, _MAX_AGE_MS))
-        return messages.WorkerReply(self.epoch, age_ms)
+        is_recorded = self.scheduler.is_end_recorded(worker)
+        return messages.WorkerReply(self.epoch, age_ms, is_recorded)
 
     def wake(self) -> None:
         """Run the scheduler without waiting for the next tick."""
--- a/kingcuplever/process/owner/side_links.py
+++ b/kingcuplever/process/owner/side_links.py
@@ -27,7 +27,7 @@
 
     def __init__(
         self,
-        make_reply: Callable[[], messages.WorkerReply],
+        make_reply: Callable[[messages.WorkerReport], messages.WorkerReply],
         on_report: ReportHandler,
         on_lost: LostHandler,
     ) -> None:
@@ -87,7 +87,7 @@
             connection or this entry does not own.
         """
         if peer not in self._numbers:
-            reply = self._make_reply()
+            reply = self._make_reply(message)
             self._numbers[peer] = next(self._next_number)
             return reply
         previous = self._links.get(message.side)
@@ -102,7 +102,7 @@
             )
             if previous is not None:
                 await previous.close()
-        return self._make_reply()
+        return self._make_reply(message)
 
     def _check_is_newest(self, peer: peers.PeerConnection, side: str) -> None:
         """Check that a side has had no newer connection."""
@@ -133,4 +133,6 @@
         tuple(fleet.RefusedTask(*row) for row in report.refused),
         report.clock_ms,
         report.orders,
+        bool(report.unreachable),
+        bool(report.crashed),
     )
--- a/kingcuplever/process/scheduling/fleet.py
+++ b/kingcuplever/process/scheduling/fleet.py
@@ -79,9 +79,12 @@
     :ivar draining: it takes no new work and will leave.
     :ivar remaining_ms: minimum time until it leaves; 0 if unknown.
     :ivar has_ended: this incarnation of the worker has ended.
+    :ivar running: its tasks; those that had started there if it has ended.
     :ivar clock_ms: the worker's own clock when it listed its tasks.
     :ivar orders: number of the orders that the side follows; absent if it
         does not say.
+    :ivar is_unreachable: nobody listens at the worker's address.
+    :ivar crashed: it has ended by a crash, seen by a side in contact.
     """
 
     worker: str
@@ -98,6 +101,8 @@
     refused: tuple[RefusedTask, ...]
     clock_ms: int
     orders: int | None = None
+    is_unreachable: bool = False
+    crashed: bool = False
 
 
 def worker_name(incarnation: str, side: str) -> str:
@@ -136,6 +141,8 @@
     :ivar last_report_at: monotonic time of its last report.
     :ivar drain_ends_at: monotonic time until which a draining worker stays.
     :ivar clock_ms: its own clock at its last report.
+    :ivar listed_at: monotonic time of the report with its newest list.
+    :ivar is_unreachable: whether nobody listens at its address.
     :ivar cordoned: takes no new work, since its host goes down for
         maintenance.
     :ivar quarantined_until: monotonic time when its quarantine ends.
@@ -156,6 +163,8 @@
         self.is_connected = False
         self.last_report_at = now
         self.clock_ms = 0
+        self.listed_at = now
+        self.is_unreachable = False
         self.allocations: dict[RunId, model.Resources] = {}
         self.orphans: dict[RunId, model.Resources] = {}
         self.pending_starts: dict[RunId, StartOrder] = {}
@@ -177,10 +186,15 @@
         """Rack of its host, or empty."""
         return self.labels[1] if len(self.labels) > 1 else ""
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no run is allocated to it or left on it."""
+        return not (self.allocations or self.orphans)
+
     @property
     def is_schedulable(self) -> bool:
-        """Whether it takes new work: neither draining nor cordoned."""
-        return not (self.draining or self.cordoned)
+        """Whether it takes new work."""
+        return not (self.draining or self.cordoned or self.is_unreachable)
 
     def update(self, status: WorkerStatus, now: float) -> None:
         """Apply what a report says about the worker itself."""
@@ -194,6 +208,9 @@
         self.has_reported = True
         self.is_connected = True
         self.last_report_at = now
+        self.is_unreachable = status.is_unreachable
+        if status.clock_ms != self.clock_ms:
+            self.listed_at = now
         self.clock_ms = status.clock_ms
         if self.capacity != status.capacity:
             self.capacity = status.capacity
--- a/kingcuplever/process/scheduling/headroom.py
+++ b/kingcuplever/process/scheduling/headroom.py
@@ -25,6 +25,8 @@
 _ARRIVALS_KEPT: Final = 100
 # Time until a preemption has made room: the stop, its report and the start.
 _RECLAIM_S: Final = 1.0
+# Bounds the count where a request is empty.
+_MAX_FITTING: Final = 1_000
 # Quantile of the arrivals within that time that capacity is kept for.
 _ARRIVALS_QUANTILE: Final = 0.9
 
@@ -161,14 +163,6 @@
 ) -> int:
     """Count the tasks that fit into the workers' free resources."""
     return sum(
-        min(
-            _count_fits(request.gpus, free[worker.name].gpus),
-            _count_fits(request.cpu_milli, free[worker.name].cpu_milli),
-            _count_fits(request.memory_mb, free[worker.name].memory_mb),
-        )
+        request.count_fits(free[worker.name], _MAX_FITTING)
         for worker in workers
     )
-
-
-def _count_fits(request: int, available: int) -> int:
-    return max(0, available) // request if request else 1_000
--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -43,6 +43,7 @@
         refused.
     :ivar tickets: the adviser's ticket for the current run, by worker, where
         the queue needs one.
+    :ivar crashes: crashes of workers under its runs.
     :ivar persisted_checkpoint: the checkpoint in its newest record.
     :ivar persisted_percent: its progress when that record was made.
     """
@@ -68,6 +69,7 @@
         "not_before",
         "avoided_workers",
         "tickets",
+        "crashes",
         "persisted_checkpoint",
         "persisted_percent",
     )
@@ -100,6 +102,7 @@
         self.not_before = 0.0
         self.avoided_workers: set[str] = set()
         self.tickets: dict[str, str] = {}
+        self.crashes = model.NO_CRASHES
         self.persisted_checkpoint = ""
         self.persisted_percent = 0
 
@@ -108,6 +111,25 @@
         """Whether no task has an allocation on a worker."""
         return not any(self.assigned_workers)
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether no task of the current run has left its worker."""
+        return self.phase == ASSIGNED and "" not in self.assigned_workers
+
+    @property
+    def is_listed(self) -> bool:
+        """Whether reports have listed every task of the current run."""
+        return all(self.progressed_ms)
+
+    @property
+    def must_run_alone(self) -> bool:
+        """Whether nothing else may be on its workers, as one crashed."""
+        return self.crashes.alone_ms > 0
+
+    def get_time_at_work_s(self, now: float) -> float:
+        """Return how long the current run has been at work; 0 if unlisted."""
+        return max(0.0, now - self.started_at) if self.started_at else 0.0
+
     @property
     def is_serving(self) -> bool:
         """Whether a long-running group is ready and not being stopped."""
@@ -185,6 +207,7 @@
             self.known_failures,
             self.checkpoint,
             tuple(self.assigned_workers) if any(self.assigned_workers) else (),
+            self.crashes,
         )
 
     def mark_persisted(self) -> None:
@@ -198,6 +221,7 @@
         self.phase = row.phase
         self.failures = row.failures
         self.checkpoint = self.persisted_checkpoint = row.saved
+        self.crashes = row.crashes
         if len(row.workers) == len(self.assigned_workers):
             self.assigned_workers = list(row.workers)
         self.ready_at = now
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from kingcuplever import logs
+from kingcuplever.process.scheduling import crash_attribution
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import job_state
 from kingcuplever.process.scheduling import model
@@ -14,7 +15,9 @@
 # immediate retry.
 _RETRY_BACKOFF_S: Final = 0.2
 # Outcomes after which another worker can be tried without a pause.
-_IMMEDIATE_RETRY: Final = frozenset(("failed", "lost", "stopped", "broken"))
+_IMMEDIATE_RETRY: Final = frozenset(
+    ("failed", "lost", "crashed", "stopped", "broken")
+)
 # Ended jobs are kept longer than callers are promised, since a submission may
 # be repeated seconds after the job was accepted.
 _RETENTION_SLACK_MS: Final = 30_000
@@ -106,6 +109,8 @@
             worker = self._state.workers[worker_name]
             run = fleet.RunId(group.tasks[index], group.run)
             worker.allocate(run, group.spec.resources)
+            if group.must_run_alone:
+                self._state.isolated_groups[group] = None
             if group.phase == job_state.ASSIGNED:
                 self._state.order_start(worker, group, run)
         if group.phase == job_state.ASSIGNED and "" in group.assigned_workers:
@@ -247,6 +252,15 @@
             reason = f"a task failed {failures} times"
             self.end_job(job, model.FAILED, reason, wall_ms)
 
+    def enforce_crash_limit(
+        self, group: job_state.Group, wall_ms: int
+    ) -> None:
+        """Fail the job of a group that crashes its workers."""
+        proven = group.crashes.proven
+        if proven >= crash_attribution.MAX_PROVEN:
+            reason = f"{proven} workers crashed under a task, alone on them"
+            self.end_job(group.job, model.FAILED, reason, wall_ms)
+
     def end_job(
         self, job: job_state.Job, state: str, reason: str, wall_ms: int
     ) -> None:
--- a/kingcuplever/process/scheduling/model.py
+++ b/kingcuplever/process/scheduling/model.py
@@ -52,6 +52,15 @@
             and self.gpus <= available.gpus
         )
 
+    def count_fits(self, available: "Resources", most: int) -> int:
+        """Return how many of these fit, at most ``most``."""
+        fits = [
+            max(0, there) // needed
+            for needed, there in zip(self, available, strict=True)
+            if needed
+        ]
+        return min([most, *fits])
+
 
 NO_RESOURCES: Final = Resources(0, 0, 0)
 
@@ -198,6 +207,23 @@
     max_headroom_share: float = 0.125
 
 
+class CrashHistory(NamedTuple):
+    """What crashes of workers say about the tasks of a group.
+
+    :ivar proven: runs under which a worker crashed with nothing else on it.
+    :ivar suspicion: weight of the crashes of workers that it shared.
+    :ivar alone_ms: how long its next run must be at work with nothing else
+        on its workers; 0 if it may share them.
+    """
+
+    proven: int = 0
+    suspicion: int = 0
+    alone_ms: int = 0
+
+
+NO_CRASHES: Final = CrashHistory()
+
+
 class TaskId(NamedTuple):
     """Identifies one task of one occurrence of a job.
 
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -114,7 +114,8 @@
             )
             if not task_limits:
                 return
-            if not self._try_place(group, eligible, cycle, task_limits):
+            placed = self._try_place(group, eligible, cycle, task_limits)
+            if not placed and not group.must_run_alone:
                 self._preemptor.preempt_in_cells(
                     group, eligible, cycle, task_limits
                 )
@@ -154,6 +155,11 @@
                 )
                 return
             placed = self._try_place(group, eligible, cycle)
+            if not placed and group.must_run_alone:
+                self._reserve_for_suspect(group, eligible, cycle)
+                if urgent and group in self._preemptor:
+                    cycle.add_urgent(group)
+                continue
             if not placed and urgent:
                 placed = self._place_urgent(group, eligible, cycle)
             if urgent and (placed or group in self._preemptor):
@@ -196,6 +202,25 @@
         self._preemptor.preempt_for_urgent(group, all_eligible, cycle)
         return False
 
+    def _reserve_for_suspect(
+        self,
+        group: job_state.Group,
+        eligible: list[fleet.Worker],
+        cycle: scheduling_cycle.SchedulingCycle,
+    ) -> None:
+        """Preempt other work, or reserve workers, for a waiting suspect."""
+        if self._state.queue_policy_of(group.job).priority == 0:
+            usable = cycle.isolation.select_workers(group, eligible)
+            self._preemptor.preempt_for_urgent(group, usable, cycle)
+        reserved: tuple[str, ...] = ()
+        if group not in self._preemptor:
+            reserved = cycle.isolation.reserve_workers(group, eligible)
+        self._set_wait_reason(
+            group,
+            "it runs alone next, as a worker crashed under it;"
+            f" reserved: {', '.join(reserved) or 'no worker'}",
+        )
+
     def _reserve_for_starved(
         self,
         group: job_state.Group,
@@ -281,6 +306,8 @@
         :return: whether the group was placed.
         """
         free, now = cycle.free, cycle.now
+        if group.must_run_alone:
+            eligible = cycle.isolation.select_workers(group, eligible)
         self._preemptor.add_back_preemption(group, free)
         allow_slow = self._may_place_slow(group, eligible, cycle)
         available = free
@@ -306,6 +333,8 @@
         self._assign(group, chosen, now)
         for name in chosen.workers:
             free[name] = free[name].subtract(group.spec.resources)
+        if group.must_run_alone:
+            cycle.isolation.hold_workers(group)
         return True
 
     def _may_place_slow(
--- a/kingcuplever/process/scheduling/preemption.py
+++ b/kingcuplever/process/scheduling/preemption.py
@@ -4,6 +4,7 @@
 stopped there.  Groups that are already being stopped cost nothing more.
 """
 
+from collections.abc import Mapping
 from collections.abc import Set
 from typing import Final
 from typing import NamedTuple
@@ -43,13 +44,16 @@
         candidates: dict[str, list[job_state.Group]],
         urgent: Set[job_state.Group],
         now: float,
+        held: Mapping[str, model.Resources],
     ) -> None:
         """Prepare a search.
 
         :param free: free resources by worker.
         :param candidates: groups that may be stopped, by worker.
         :param urgent: those among them that are urgent.
+        :param held: resources kept unused beside isolated groups, by worker.
         """
+        self._held = held
         self._free = free
         self._candidates = candidates
         self._urgent = urgent
@@ -147,7 +151,7 @@
         needed: list[job_state.Group] = []
         for victim in remaining:
             needed.append(victim)
-            available = available.add(_resources_on(victim, name))
+            available = available.add(self._resources_on(victim, name))
             if request.fits_into(available):
                 break
         else:
@@ -155,7 +159,7 @@
         # A later, larger victim may make earlier ones needless; the most
         # expensive of those is dropped first.
         for victim in [*reversed(needed)]:
-            reduced = available.subtract(_resources_on(victim, name))
+            reduced = available.subtract(self._resources_on(victim, name))
             if request.fits_into(reduced):
                 available = reduced
                 needed.remove(victim)
@@ -178,7 +182,19 @@
     ) -> None:
         for name in {worker for worker in victim.assigned_workers if worker}:
             if name in free:
-                free[name] = free[name].add(_resources_on(victim, name))
+                free[name] = free[name].add(self._resources_on(victim, name))
+
+    def _resources_on(
+        self, group: job_state.Group, name: str
+    ) -> model.Resources:
+        """Return the resources that stopping a group frees on a worker."""
+        freed = model.NO_RESOURCES
+        for worker in group.assigned_workers:
+            if worker == name:
+                freed = freed.add(group.spec.resources)
+        if group.must_run_alone and name in self._held:
+            freed = freed.add(self._held[name])
+        return freed
 
 
 def _choose_cheapest(
@@ -186,12 +202,3 @@
 ) -> PreemptionPlan | None:
     found = [plan for plan in plans if plan is not None]
     return min(found, key=lambda plan: plan.cost, default=None)
-
-
-def _resources_on(group: job_state.Group, name: str) -> model.Resources:
-    """Return the resources that a group has allocated on one worker."""
-    allocated = model.NO_RESOURCES
-    for worker in group.assigned_workers:
-        if worker == name:
-            allocated = allocated.add(group.spec.resources)
-    return allocated
--- a/kingcuplever/process/scheduling/preemptor.py
+++ b/kingcuplever/process/scheduling/preemptor.py
@@ -142,7 +142,7 @@
         entitled = max_cost == float("inf")
         victims, urgent = self._find_victims(eligible, entitled)
         search = preemption.PreemptionSearch(
-            cycle.free, victims, urgent, cycle.now
+            cycle.free, victims, urgent, cycle.now, cycle.isolation.held
         )
         plan = search.find_cheapest(group, eligible, task_limits)
         if plan is None or plan.cost > max_cost:
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -201,7 +201,7 @@
         """Return the records to append next, or None if there are none."""
         deferred = self._state.deferred
         if not self._state.dirty_jobs and not self._state.purged_jobs:
-            if deferred.acks or deferred.evidence:
+            if deferred.acks or deferred.evidence or deferred.ended_workers:
                 # The ended tasks changed no job, so nothing has to be appended
                 # before they are acknowledged.
                 self._release_effects(deferred)
@@ -223,6 +223,10 @@
         self._uncommitted[self._batch_number] = deferred
         return RecordBatch(self._batch_number, tuple(records))
 
+    def is_end_recorded(self, worker: str) -> bool:
+        """Return whether the log has all that a worker's end led to."""
+        return worker not in self._state.unrecorded_ends
+
     def confirm_commit(self, number: int) -> None:
         """Carry out the actions deferred until a batch was on the log."""
         self._release_effects(self._uncommitted.pop(number))
@@ -282,6 +286,7 @@
     ) -> None:
         """Release a batch's evidence, start orders and acknowledgements."""
         self._evidence += deferred.evidence
+        self._state.unrecorded_ends.difference_update(deferred.ended_workers)
         for group, run_number in deferred.starts:
             if group.run != run_number or group.phase != job_state.ASSIGNED:
                 continue
--- a/kingcuplever/process/scheduling/scheduler_state.py
+++ b/kingcuplever/process/scheduling/scheduler_state.py
@@ -37,6 +37,7 @@
     :ivar starts: groups to start, with the number of the run.
     :ivar acks: number of the newest end to acknowledge, by worker.
     :ivar evidence: evidence that becomes valid with the commit.
+    :ivar ended_workers: workers whose end the batch records.
     """
 
     def __init__(self) -> None:
@@ -44,6 +45,7 @@
         self.starts: list[tuple[job_state.Group, int]] = []
         self.acks: dict[str, int] = {}
         self.evidence: list[evidence_records.Row] = []
+        self.ended_workers: list[str] = []
 
 
 class SchedulerState:
@@ -64,6 +66,9 @@
         placement.
     :ivar advice: workers that may run a step, for queues that need advice.
     :ivar log_lines: log lines that are not written yet.
+    :ivar unrecorded_ends: ended workers with tasks whose records are not
+        committed.
+    :ivar isolated_groups: assigned groups that nothing may join.
     :ivar lost_work: core-seconds of work lost so far, by cause.
     :ivar accounts: guarantees and limits, and the cells bound to them.
     :ivar headroom: capacity kept free for urgent work.
@@ -87,6 +92,8 @@
         self.needs_placement = True
         self.advice = advice.AdviceCache()
         self.log_lines: list[LogLine] = []
+        self.unrecorded_ends: set[str] = set()
+        self.isolated_groups: dict[job_state.Group, None] = {}
         self.lost_work: dict[str, float] = {}
         self.accounts = accounts.Accounts()
         self.headroom = headroom.Headroom()
--- a/kingcuplever/process/scheduling/scheduling_cycle.py
+++ b/kingcuplever/process/scheduling/scheduling_cycle.py
@@ -5,6 +5,7 @@
 from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import bindings
 from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import isolation
 from kingcuplever.process.scheduling import job_state
 from kingcuplever.process.scheduling import placement
 from kingcuplever.process.scheduling import scheduler_state
@@ -16,6 +17,7 @@
     :ivar free: free resources by worker, less capacity that is reserved or
         being cleared by preemption.
     :ivar now: monotonic time of the cycle.
+    :ivar isolation: the workers of groups that must run alone.
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         """
         self.free = free
         self.now = now
+        self.isolation = isolation.Isolation(state, free, now)
         self._state = state
         self._usable = usable
         self._eligible: dict[
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from kingcuplever import logs
+from kingcuplever.process.scheduling import crash_attribution
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import job_state
 from kingcuplever.process.scheduling import job_tracker
@@ -50,7 +51,7 @@
     ) -> None:
         """Apply a side's report about its worker."""
         if status.has_ended:
-            self._remove_worker(status.worker, now, "it has ended")
+            self._apply_worker_end(status, now, wall_ms)
             return
         worker = self._state.workers.get(status.worker)
         if worker is None:
@@ -69,8 +70,11 @@
         if not worker.is_connected or status.draining != worker.draining:
             worker.orders_changed = True
             self._state.needs_placement = True
+        is_new_list = status.clock_ms != worker.clock_ms
         worker.update(status, now)
         self._apply_running(worker, status.running, now)
+        if is_new_list:
+            self._clear_survivors(worker, now)
         self._update_paces(worker, status.running, now)
         # Ends come first: if a run has both, its end has the outcome.
         for ended in status.ended:
@@ -78,6 +82,40 @@
         for refused in status.refused:
             self._apply_refused(worker, refused, now)
 
+    def _apply_worker_end(
+        self, status: fleet.WorkerStatus, now: float, wall_ms: int
+    ) -> None:
+        """Remove an ended worker; its crash may end the jobs under it.
+
+        A worker that was to leave may end at any time.
+        """
+        worker = self._state.workers.get(status.worker)
+        if worker is None:
+            return
+        if worker.allocations:
+            self._state.unrecorded_ends.add(worker.name)
+            self._state.deferred.ended_workers.append(worker.name)
+        if not status.crashed or worker.draining or worker.cordoned:
+            self._remove_worker(worker.name, now, "it has ended")
+            return
+        groups = {
+            group: None
+            for group in map(self._state.find_group, worker.allocations)
+            if group is not None
+        }
+        crash_attribution.attribute_crash(self._state, worker, status.running)
+        self._remove_worker(worker.name, now, "it has crashed", "crashed")
+        for group in groups:
+            self._jobs.enforce_crash_limit(group, wall_ms)
+
+    def _clear_survivors(self, worker: fleet.Worker, now: float) -> None:
+        """Clear the suspects that a worker's new list shows at work."""
+        for group in [*self._state.isolated_groups]:
+            if group.phase != job_state.ASSIGNED or group.stop_reason:
+                continue
+            if worker.name in group.assigned_workers:
+                crash_attribution.clear_survivor(self._state, group, now)
+
     def mark_side_disconnected(self, side: str) -> None:
         """Mark the worker of a disconnected side; its tasks may go on."""
         for worker in self._state.workers.values():
@@ -269,7 +307,13 @@
             if other is not worker and other.side == worker.side:
                 self._remove_worker(name, now, f"{worker.name} replaces it")
 
-    def _remove_worker(self, name: str, now: float, reason: str) -> None:
+    def _remove_worker(
+        self, name: str, now: float, reason: str, outcome: str = "lost"
+    ) -> None:
+        """Remove a worker.
+
+        :param outcome: what has become of its tasks.
+        """
         worker = self._state.workers.pop(name, None)
         if worker is None:
             return
@@ -292,7 +336,7 @@
                 ]
         for run, group in lost:
             if group is not None:
-                self._jobs.release_task(group, run, worker, "lost", now)
+                self._jobs.release_task(group, run, worker, outcome, now)
         self._state.needs_placement = True
 
     def check_workers(self, now: float) -> None:
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -53,6 +53,7 @@
     :ivar saved: newest checkpoint, or empty.
     :ivar workers: worker of each task of an assignment; empty for a task
         that no longer holds resources.
+    :ivar crashes: crashes of workers under it.
     """
 
     occurrence: int
@@ -63,6 +64,7 @@
     failures: int
     saved: str
     workers: tuple[str, ...]
+    crashes: model.CrashHistory = model.NO_CRASHES
 
 
 class Progress(NamedTuple):
@@ -133,7 +135,7 @@
     value = [
         record.state,
         list(record.finished),
-        [list(group) for group in record.groups],
+        [_encode_group(group) for group in record.groups],
         record.ended_ms,
         record.begun_ms,
         record.evictions,
@@ -219,14 +221,32 @@
     raise plain.ValidationError([fault])
 
 
+def _encode_group(group: GroupProgress) -> list[Any]:
+    """Encode the progress of a group; mostly it has no crashes."""
+    if group.crashes == model.NO_CRASHES:
+        return list(group[:-1])
+    return list(group)
+
+
 def _decode_group(row: list[Any]) -> GroupProgress:
     """Decode the progress of a group from its list."""
     occurrence, step, first, run, phase, failures, saved = _check_types(
         row[:7], (int, int, int, int, str, int, str)
     )
     workers = _check_types(row[7], (str,) * len(row[7]))
+    crashes = model.NO_CRASHES
+    if len(row) > 8:
+        crashes = model.CrashHistory(*_check_types(row[8], (int, int, int)))
     return GroupProgress(
-        occurrence, step, first, run, phase, failures, saved, tuple(workers)
+        occurrence,
+        step,
+        first,
+        run,
+        phase,
+        failures,
+        saved,
+        tuple(workers),
+        crashes,
     )
 
 
--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -675,7 +675,7 @@
         self._table.listener = self
         self._offset = 0
         self._links = side_links.SideLinks(
-            lambda: self._get_term().make_reply(),
+            lambda report: self._get_term().make_reply(report.worker),
             self._apply_report,
             self._on_side_lost,
         )
--- a/tests/test_side_links.py
+++ b/tests/test_side_links.py
@@ -38,7 +38,7 @@
         self.applied: list[str] = []
         self.lost: list[str] = []
         self.links = side_links.SideLinks(
-            lambda: messages.WorkerReply(1),
+            lambda report: messages.WorkerReply(1),
             self._on_report,
             self.lost.append,
         )
