Capacity: starts that lost their room are withdrawn

Callers see nothing; a worker may be brought over its room (LIMIT) since Capacity may shrink while a worker runs.

Cause: the owner followed a new capacity for later placements only. A start that was decided or ordered before, and not carried out yet, went on to be tried: at a worker that leaves orders unanswered, or from a side without its owner, for longer than the users allow.

Change: a side reports a changed capacity at once and drops its untried starts when the room shrinks; the owner withdraws the newest starts that no list has shown, until the others fit, and orders what is left again. What runs stays.

--- a/kingcuplever/process/agent/order_reconciler.py
+++ b/kingcuplever/process/agent/order_reconciler.py
@@ -80,7 +80,7 @@
             for row in orders.starts
         }
         if not self._state.may_act:
-            self._void_starts()
+            self.void_starts()
             starts = {}
         stops = {fleet.RunId(*row) for row in orders.stops}
         self._reconcile_runs(starts, stops, nursery)
@@ -95,7 +95,7 @@
         is_current = self._orders_epoch == self._state.epoch
         return self._orders_number if is_current else 0
 
-    def _void_starts(self) -> None:
+    def void_starts(self) -> None:
         """Drop the ordered starts, and report that no orders hold."""
         self._wanted_starts = {}
         self._orders_number = 0
@@ -169,7 +169,7 @@
     ) -> None:
         while run in self._wanted_starts and not self._state.has_run(run):
             if not self._state.may_act:
-                self._void_starts()
+                self.void_starts()
                 return
             if not self._state.clock.is_known:
                 await trio.sleep(_RETRY_S)
--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -101,12 +101,17 @@
 
     def register(self, registration: executors.Registration) -> None:
         """Apply a registration of the worker."""
+        before = self._state.incarnations.current
         if self._state.incarnations.apply_registration(registration):
             self._registered.set()
+            if before is not None and _has_shrunk(before, registration):
+                # The owner orders again what still has room.
+                self._orders.void_starts()
             text = (
                 f"Worker {registration.incarnation} registered, sequence"
                 f" {registration.sequence},"
-                f" {'draining' if registration.draining else 'ready'}."
+                f" {'draining' if registration.draining else 'ready'},"
+                f" {registration.capacity}."
             )
             logs.info(logs.Component.MEMBER, text)
             self._signal_change()
@@ -375,6 +380,14 @@
         self._signal_change()
 
 
+def _has_shrunk(
+    before: executors.Registration, after: executors.Registration
+) -> bool:
+    """Return whether an incarnation has less room than before."""
+    is_same = before.incarnation == after.incarnation
+    return is_same and not before.capacity.fits_into(after.capacity)
+
+
 def _has_task_changes(
     before: executors.TaskList, after: executors.TaskList
 ) -> bool:
--- a/kingcuplever/process/agent/worker_incarnations.py
+++ b/kingcuplever/process/agent/worker_incarnations.py
@@ -27,7 +27,7 @@
         current incarnation has been applied.
 
         :return: whether it names a candidate, or changes whether the current
-            incarnation drains.
+            incarnation drains or its capacity.
         """
         if registration.incarnation in self._ended:
             return False
@@ -38,7 +38,10 @@
         if registration.sequence <= current.sequence:
             return False
         self.current = registration
-        return registration.draining != current.draining
+        return (
+            registration.draining != current.draining
+            or registration.capacity != current.capacity
+        )
 
     def confirm_candidate(self, incarnation: str) -> bool:
         """Make an incarnation that has answered a call the current one.
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -75,6 +75,8 @@
         self._apply_running(worker, status.running, now)
         if is_new_list:
             self._clear_survivors(worker, now)
+        if not model.NO_RESOURCES.fits_into(worker.free):
+            self._withdraw_starts(worker)
         self._update_paces(worker, status.running, now)
         # Ends come first: if a run has both, its end has the outcome.
         for ended in status.ended:
@@ -152,6 +154,36 @@
             worker.add_orphan(run, request or worker.capacity)
         self._state.order_stop(worker, run)
 
+    def _withdraw_starts(self, worker: fleet.Worker) -> None:
+        """Withdraw starts for which a worker has no room any more.
+
+        It may have shrunk, or run what the owner had given up.  Runs that
+        it has listed stay; of the others, the newest go first.
+        """
+        free = worker.free
+        kept: list[tuple[job_state.Group, model.Resources]] = []
+        for run, request in worker.allocations.items():
+            group = self._state.find_group(run)
+            if group is None or group.phase != job_state.ASSIGNED:
+                continue
+            if group.progressed_ms[group.tasks.index(run.task)]:
+                continue
+            if group.stop_reason:
+                free = free.add(request)
+            else:
+                kept.append((group, request))
+        while kept and not model.NO_RESOURCES.fits_into(free):
+            group, request = kept.pop()
+            free = free.add(request)
+            if not group.stop_reason:
+                group.stop_reason = "shrunk room of its worker"
+                text = (
+                    f"{group.tasks[0]} run {group.run} is withdrawn:"
+                    f" {worker.name} has room for {worker.capacity}."
+                )
+                self._state.queue_log_line(logs.Component.TASK, text)
+                self._state.order_group_stop(group)
+
     def _update_paces(
         self,
         worker: fleet.Worker,
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -65,6 +65,7 @@
     :ivar delays_orders: whether start orders are kept in ``delayed_starts``
         and stop orders are ignored.
     :ivar started: the start orders that were carried out.
+    :ivar capacity: what it says of its room.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         self.delays_orders = False
         self.delayed_starts: list[fleet.StartOrder] = []
         self.started: list[fleet.StartOrder] = []
+        self.capacity = WORKER_CAPACITY
         self._number = 0
         self._last_end_before_expiry = 0
 
@@ -185,7 +187,7 @@
             self.side,
             "hall",
             "desk",
-            WORKER_CAPACITY,
+            self.capacity,
             ("a", self.rack),
             self.draining,
             4000 if self.draining else 0,
