Crash attribution: tests of what counts and what does not

One failed when it was written: after a takeover a suspect's isolation could end at once. Its time at work came from its progress and the submitter's estimate, which is far off. For a suspect it now begins with the first report to the new owner.

--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -243,11 +243,13 @@
         """Estimate the start of the run from the first report that lists it.
 
         Derives the time from the progress: a new owner would otherwise take
-        a long run for a recent one that is cheap to stop.
+        a long run for a recent one that is cheap to stop.  Submitters'
+        estimates are no evidence that clears a suspect, though.
         """
-        if not self.started_at:
-            ran_s = self.spec.estimate_ms / 1000 * percent / _FULL_PERCENT
-            self.started_at = now - ran_s
+        if self.started_at:
+            return
+        ran_s = self.spec.estimate_ms / 1000 * percent / _FULL_PERCENT
+        self.started_at = now if self.must_run_alone else now - ran_s
 
     def is_stalled(self, index: int, clock_ms: int, timeout_ms: int) -> bool:
         """Return whether a member has made no progress for too long.
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -284,6 +284,19 @@
                 fake.make_status(int(self.now * 1000)), self.now, self.wall_ms
             )
 
+    def end_worker(self, fake: FakeWorker, crashed: bool) -> FakeWorker:
+        """End a worker; return its next incarnation.
+
+        :param crashed: whether its side has seen it crash.
+        """
+        status = fake.make_status(int(self.now * 1000))
+        status = status._replace(has_ended=True, crashed=crashed)
+        self.scheduler.apply_report(status, self.now, self.wall_ms)
+        name = fleet.incarnation_of(fake.name)
+        successor = FakeWorker(f"{name}+", fake.side, fake.rack, self.events)
+        self.workers[self.workers.index(fake)] = successor
+        return successor
+
     def settle(self, cycles: int = 4) -> None:
         """Run scheduling cycles, each with commits, orders and reports.
 
