--- a/kingcuplever/process/job_metrics.py
+++ b/kingcuplever/process/job_metrics.py
@@ -82,6 +82,12 @@
             ["cause"],
             registry=self.registry,
         )
+        self.worker_crashes = prometheus_client.Gauge(
+            "kingcuplever_worker_crashes",
+            "Crashes of workers since this entry became owner, by verdict.",
+            ["verdict"],
+            registry=self.registry,
+        )
         self.fragmentation = prometheus_client.Gauge(
             "kingcuplever_fragmentation",
             "Share of free accelerators that no task of a size can use.",
--- a/kingcuplever/process/owner/owner_term.py
+++ b/kingcuplever/process/owner/owner_term.py
@@ -248,6 +248,8 @@
         self._metrics.workers.set(len(scheduler.workers))
         for cause, core_s in scheduler.lost_work.items():
             self._metrics.lost_work.labels(cause).set(core_s)
+        for verdict, count in scheduler.crash_counts.items():
+            self._metrics.worker_crashes.labels(verdict).set(count)
         now = trio.current_time()
         if now - self._summary_at < _SUMMARY_PERIOD_S:
             return
--- a/kingcuplever/process/scheduling/crash_attribution.py
+++ b/kingcuplever/process/scheduling/crash_attribution.py
@@ -61,6 +61,12 @@
         for group in map(state.find_group, runs)
         if group in there and group is not None and group.is_whole
     }
+    verdict = "suspected"
+    if not suspects:
+        verdict = "neither"
+    elif is_alone:
+        verdict = "proven"
+    state.crash_counts[verdict] = state.crash_counts.get(verdict, 0) + 1
     for group in suspects:
         group.crashes = _add_crash(group, worker.listed_at, is_alone)
         state.dirty_jobs[group.job.name] = None
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -116,6 +116,11 @@
         """Core-seconds of work lost so far, by cause."""
         return self._state.lost_work
 
+    @property
+    def crash_counts(self) -> dict[str, int]:
+        """Crashes of workers so far, by what they prove about tasks."""
+        return self._state.crash_counts
+
     def apply_report(
         self, status: fleet.WorkerStatus, now: float, wall_ms: int
     ) -> None:
--- a/kingcuplever/process/scheduling/scheduler_state.py
+++ b/kingcuplever/process/scheduling/scheduler_state.py
@@ -70,6 +70,8 @@
         committed.
     :ivar isolated_groups: assigned groups that nothing may join.
     :ivar lost_work: core-seconds of work lost so far, by cause.
+    :ivar crash_counts: crashes of workers so far, by what they prove:
+        ``proven`` or ``suspected``, or ``neither`` where no task was there.
     :ivar accounts: guarantees and limits, and the cells bound to them.
     :ivar headroom: capacity kept free for urgent work.
     :ivar wall_ms: wall-clock time of the current decision.
@@ -95,6 +97,7 @@
         self.unrecorded_ends: set[str] = set()
         self.isolated_groups: dict[job_state.Group, None] = {}
         self.lost_work: dict[str, float] = {}
+        self.crash_counts: dict[str, int] = {}
         self.accounts = accounts.Accounts()
         self.headroom = headroom.Headroom()
         self.wall_ms = 0
