Maintenance: a new owner knows which hosts are in doubt

Cause: the record of a round held the hosts that are done, not those whose take-down had been requested and might still happen. A new owner chose again among all that were left.

Change: the record holds the requested hosts; it is appended before each call already. A new owner takes them as draining, so they count as unavailable and come first.

--- a/kingcuplever/process/scheduling/maintenance.py
+++ b/kingcuplever/process/scheduling/maintenance.py
@@ -33,11 +33,13 @@
 
     :ivar stop_at: monotonic time from which tasks that still run are stopped.
     :ivar is_requested: whether the take-down was requested.
+    :ivar is_in_doubt: whether a requested take-down may still happen.
     """
 
     def __init__(self, stop_at: float) -> None:
         self.stop_at = stop_at
         self.is_requested = False
+        self.is_in_doubt = False
 
 
 class _OpenRound:
@@ -98,9 +100,13 @@
                 self._completed.add(progress.number)
                 continue
             order = maintenance_rounds.RoundOrder(progress.number, (), 0.0, 1)
-            self._rounds[progress.number] = _OpenRound(
-                order, progress.began_ms, {*progress.done}
-            )
+            open_round = _OpenRound(order, progress.began_ms, {*progress.done})
+            for name in progress.requested:
+                # Its host may go down any time, so nothing is to be spared.
+                drain = _HostDrain(float("-inf"))
+                drain.is_in_doubt = True
+                open_round.drains[name] = drain
+            self._rounds[progress.number] = open_round
 
     def apply_order(self, order: maintenance_rounds.RoundOrder) -> None:
         """Open a round or update its order; completed rounds stay closed."""
@@ -143,7 +149,7 @@
                     continue
                 worker = self._find_worker_on(host)
                 if worker is None or not worker.allocations:
-                    drain.is_requested = True
+                    drain.is_requested = drain.is_in_doubt = True
                     take_downs.append(
                         maintenance_rounds.TakeDown(
                             open_round.order.number, name
@@ -234,8 +240,15 @@
     def _make_progress(self, number: int) -> maintenance_rounds.RoundProgress:
         open_round = self._rounds[number]
         done = tuple(sorted(open_round.done))
+        requested = tuple(
+            sorted(
+                name
+                for name, drain in open_round.drains.items()
+                if drain.is_in_doubt
+            )
+        )
         return maintenance_rounds.RoundProgress(
-            number, open_round.began_ms, done, False
+            number, open_round.began_ms, done, False, requested
         )
 
     def _expire_cordons(self, now: float) -> None:
--- a/kingcuplever/process/scheduling/maintenance_rounds.py
+++ b/kingcuplever/process/scheduling/maintenance_rounds.py
@@ -23,12 +23,14 @@
 
     :ivar began_ms: wall-clock time when the round began.
     :ivar done: hosts that were taken down, or are not part of the round.
+    :ivar requested: hosts whose take-down was requested and is not done.
     """
 
     number: int
     began_ms: int
     done: tuple[str, ...]
     completed: bool
+    requested: tuple[str, ...] = ()
 
 
 class Host(NamedTuple):
