Sides: a draining worker has left once nobody listens at its address

Cause: only a worker that had deregistered counted as gone once its host refused connections. One that had said that it drains, and was gone 2 s later, did not; its side saw the refusals for 4 s, until its own host went, and told nobody.

Change: a worker that drains has left, too, once nobody listens at its address.

Test: test_draining_worker_has_left_once_nobody_listens failed before.

--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -199,7 +199,7 @@
 
         :param end: its end; None if it is the current one.
         """
-        is_leaving = registration.incarnation == self._leaving
+        is_leaving = self._is_leaving(registration)
         task_list = self._state.task_list if end is None else None
         running = () if task_list is None else task_list.running
         ended = () if task_list is None else task_list.ended
@@ -213,7 +213,7 @@
             registration.pool,
             *registration.capacity,
             registration.labels,
-            registration.draining or is_leaving,
+            is_leaving,
             registration.time_left_ms(trio.current_time()),
             end is not None,
             tuple(messages.RunningRow(*row) for row in running),
@@ -283,6 +283,12 @@
         elif lease_end_ms is None and self._state.clock.is_known:
             await trio.sleep(_RETRY_S)
 
+    def _is_leaving(self, registration: executors.Registration) -> bool:
+        """Return whether an incarnation drains or has deregistered."""
+        return (
+            registration.draining or registration.incarnation == self._leaving
+        )
+
     async def _handle_failed_list(
         self,
         registration: executors.Registration,
@@ -290,14 +296,18 @@
     ) -> None:
         """Handle a list without an answer, and pause before the next."""
         incarnation = registration.incarnation
-        if error.refused and incarnation == self._leaving:
+        current = self._state.incarnations.current
+        is_current = current is not None and current.incarnation == incarnation
+        if current is not None and is_current:
+            # It may have registered again since the call.
+            registration = current
+        if error.refused and self._is_leaving(registration):
             self._handle_ended_incarnation(registration, "it has left")
             return
         logs.warn(
             logs.Component.TASK,
             f"No task list of {incarnation}: {error.detail}",
         )
-        is_current = incarnation == self._state.incarnation
         if error.refused and is_current:
             if self._state.contact.record_refusal():
                 self._signal_change()
@@ -343,14 +353,11 @@
     def _end_incarnation(
         self, registration: executors.Registration, reason: str
     ) -> None:
-        is_leaving = (
-            registration.draining or registration.incarnation == self._leaving
-        )
-        contact = self._state.contact
+        saw_crash = self._state.contact.saw_crash
         end = _EndedIncarnation(
             registration,
             self._state.list_started_tasks(),
-            contact.saw_crash and not is_leaving,
+            saw_crash and not self._is_leaving(registration),
         )
         self._log_end(end, reason)
         self._ended_incarnations.append(end)
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -470,6 +470,21 @@
     test()
 
 
+# Guards against work that waits for a worker that has left without a word: it
+# had said that it drains, and its host goes some seconds after it.
+@with_worker_agent
+async def test_draining_worker_has_left_once_nobody_listens(
+    agent: worker_agent.WorkerAgent, fake: FakeExecutor
+) -> None:
+    agent.apply_orders(make_orders(1, 1))
+    await trio.sleep(1.2)
+    agent.register(make_registration(sequence=2, draining=True))
+    fake.has_ended = True
+    await trio.sleep(1.5)
+    (report,) = agent.make_reports()
+    assert (report.gone, report.crashed) == (True, False)
+
+
 # Guards against crashes that count for the tasks of a host that was cut off.
 @with_worker_agent
 async def test_end_behind_a_cut_of_the_host_is_no_crash(
