Ends, registrations: what is ignored is logged

The owner logs an end that it ignores although the run is still allocated there, a side each registration with a lower sequence than the newest.

--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -115,6 +115,15 @@
             )
             logs.info(logs.Component.MEMBER, text)
             self._signal_change()
+            return
+        current = self._state.incarnations.current
+        if current is None or registration.sequence < current.sequence:
+            newest = "none" if current is None else f"{current.sequence}"
+            text = (
+                f"Registration of {registration.incarnation} is ignored:"
+                f" sequence {registration.sequence}, newest {newest}."
+            )
+            logs.info(logs.Component.MEMBER, text)
 
     def deregister(self, incarnation: str) -> None:
         """Expect the end of an incarnation that the worker has deregistered.
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -254,9 +254,16 @@
         now: float,
         wall_ms: int,
     ) -> None:
+        run = fleet.RunId(ended.task, ended.run)
         if ended.number <= worker.acked:
+            if run in worker.allocations:
+                text = (
+                    f"End {ended.number} of {worker.name} is ignored, as end"
+                    f" {worker.acked} is recorded: {ended.task} run"
+                    f" {ended.run}, {ended.outcome}."
+                )
+                self._state.queue_log_line(logs.Component.TASK, text)
             return
-        run = fleet.RunId(ended.task, ended.run)
         group = (
             self._state.find_group(run) if run in worker.allocations else None
         )
