--- a/standins/wire_site.py
+++ b/standins/wire_site.py
@@ -136,13 +136,16 @@
         sides: int = 2,
         proxied: bool = False,
         lease_ms: int = _LEASE_MS,
+        states_birth: bool = False,
     ) -> None:
         """Allocate the addresses; :meth:`__enter__` starts the processes.
 
         :param proxied: whether each process reaches the store through a proxy
             of its own.
         :param lease_ms: longest task lease.
+        :param states_birth: whether the workers name the time of their start.
         """
+        self._states_birth = states_birth
         self._proxied = proxied
         self._lease_ms = lease_ms
         self._proxies: dict[str, proxy.Proxy] = {}
@@ -345,7 +348,11 @@
                 if role != "side":
                     continue
                 worker = wire_worker.WireWorker(
-                    f"i-{number}", POOL, "r1-1", addresses.registry
+                    f"i-{number}",
+                    POOL,
+                    "r1-1",
+                    addresses.registry,
+                    states_birth=self._states_birth,
                 )
                 self.workers.append(worker)
                 nursery.start_soon(worker.run)
--- a/standins/wire_worker.py
+++ b/standins/wire_worker.py
@@ -90,6 +90,7 @@
     :ivar acknowledged_ends: the ends that were acknowledged in time.
     :ivar draining: whether it registers as draining.
     :ivar fails_all: whether every task fails soon after its start.
+    :ivar clock_offset_ms: how far its time of day is ahead.
     """
 
     def __init__(
@@ -99,12 +100,17 @@
         rack: str,
         side_address: str,
         data_centre: str = "hall",
+        states_birth: bool = False,
     ) -> None:
         """Start with nothing running.
 
         :param side_address: address of the side where it registers.
+        :param states_birth: whether its registrations and lists name the
+            time of its start.
         """
         self.incarnation = incarnation
+        self.clock_offset_ms = 0
+        self._states_birth = states_birth
         self.starts: list[TaskStart] = []
         self.renewals: list[Renewal] = []
         self.acknowledged_ends: list[AcknowledgedEnd] = []
@@ -125,6 +131,8 @@
         self._lapsed_upto = 0
         self._crashes = 0
         self._changed = trio.Event()
+        self._started_at = 0.0
+        self._born_ms = self._read_time_of_day_ms()
 
     @property
     def running(self) -> set[str]:
@@ -170,7 +178,8 @@
 
     def _extend_lease(self, end_ms: int) -> None:
         if end_ms > self._lease_end_ms:
-            self.renewals.append(Renewal(_clock_ms(), self._lease_end_ms))
+            renewal = Renewal(self._read_clock_ms(), self._lease_end_ms)
+            self.renewals.append(renewal)
             self._lease_end_ms = end_ms
 
     def _start_task(self, body: dict[str, Any]) -> http_server.HttpResponse:
@@ -210,25 +219,46 @@
             for task, run in self._running.items()
         ]
         return self._make_response(
-            {"Running": running, "Ended": self._unacknowledged_ends}
+            {
+                "Running": running,
+                "Ended": self._unacknowledged_ends,
+                **self._make_birth(),
+            }
         )
 
+    def _make_birth(self) -> dict[str, Any]:
+        return {"born": self._born_ms} if self._states_birth else {}
+
+    def _read_clock_ms(self) -> int:
+        """Read its steady clock, which starts anew with each incarnation."""
+        return int((trio.current_time() - self._started_at) * 1000)
+
+    def _read_time_of_day_ms(self) -> int:
+        return int(time.time() * 1000) + self.clock_offset_ms
+
     def _make_response(
         self, document: dict[str, Any], status: int = 200
     ) -> http_server.HttpResponse:
-        document["ClockMs"] = _clock_ms()
+        document["ClockMs"] = self._read_clock_ms()
         return http_server.json_response(document, status)
 
-    def crash(self) -> None:
-        """Begin a new incarnation at the same address; drop running tasks."""
+    def crash(self, keeps_id: bool = False) -> None:
+        """Begin a new incarnation at the same address; drop running tasks.
+
+        :param keeps_id: whether it goes on under the same id.
+        """
         for task, run in self._running.items():
             self._ended_runs.append(
                 _make_task_run(task, run, "crashed", time.time())
             )
         self._crashes += 1
-        self.incarnation = (
-            f"{self.incarnation.partition('.')[0]}.{self._crashes}"
-        )
+        if not keeps_id:
+            self.incarnation = (
+                f"{self.incarnation.partition('.')[0]}.{self._crashes}"
+            )
+        self._started_at = trio.current_time()
+        self._born_ms = self._read_time_of_day_ms()
+        self._sequence = 0
         self._fence = self._lease_end_ms = self._end_number = (
             self._lapsed_upto
         ) = 0
@@ -237,7 +267,7 @@
         self._closed_runs.clear()
 
     def _end_due_tasks(self) -> None:
-        lapsed = _clock_ms() > self._lease_end_ms
+        lapsed = self._read_clock_ms() > self._lease_end_ms
         if lapsed:
             # Ends up to here are acknowledged too late: their lease lapsed.
             self._lapsed_upto = self._end_number
@@ -297,8 +327,9 @@
             "ColdLeftMs": 0,
             "Capacity": {"Cpu": 128_000, "MemMb": 262_144, "Gpu": GPUS},
             "Labels": ["a", self._rack],
-            "ClockMs": _clock_ms(),
+            "ClockMs": self._read_clock_ms(),
             "Seq": self._sequence,
+            **self._make_birth(),
         }
 
 
@@ -306,7 +337,3 @@
     task: str, run: _RunningTask, phase: str, ended_at: float
 ) -> TaskRun:
     return TaskRun(task, run.run, run.gpus, phase, run.started_at, ended_at)
-
-
-def _clock_ms() -> int:
-    return int(trio.current_time() * 1000)
