Reborn workers: histories in the world of sides; a late deregistration

Workers of the simulated world may restart under their ids, with the time of day set back. Tests: ends of a restarted worker count; a late start sent to a former life starts nothing twice, also with a restarted side and over takeovers; late registrations and deregistrations of a former life; random histories of all of it.

Found by them: a late deregistration made the owner evacuate the newer life (run 2 instead of run 1 in the test). It names no start, and a worker that states one drains before; so only a refused connection proves it, and the next registration as ready revokes it.

--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -81,6 +81,8 @@
         self._nursery: trio.Nursery | None = None
         # Incarnation that has deregistered and may not have ended yet.
         self._leaving = ""
+        # Incarnation of whose id a deregistration has come, perhaps late.
+        self._doubtful_leave = ""
 
     def _get_owner_silence_s(self) -> float:
         """Return the seconds since the last contact to an owner."""
@@ -99,30 +101,31 @@
 
     def register(self, registration: executors.Registration) -> None:
         """Apply a registration of the worker."""
-        before = self._state.incarnations.current
-        if self._state.incarnations.apply_registration(registration):
-            self._registered.set()
-            if before is not None and _has_shrunk(before, registration):
-                # The owner orders again what still has room.
-                self._orders.void_starts()
-            self._revoke_leave(registration)
+        incarnations = self._state.incarnations
+        before = incarnations.current
+        is_change = incarnations.apply_registration(registration)
+        if incarnations.current is registration:
+            is_change = self._revoke_leave(registration) or is_change
+        elif not is_change:
             text = (
-                f"Worker {registration.incarnation} registered, sequence"
-                f" {registration.sequence},"
-                f" {'draining' if registration.draining else 'ready'},"
-                f" {registration.capacity}."
+                f"Registration of {registration.incarnation}, sequence"
+                f" {registration.sequence}, is ignored as old or incomplete."
             )
             logs.info(logs.Component.MEMBER, text)
-            self._signal_change()
+        if not is_change:
             return
-        current = self._state.incarnations.current
-        if current is None or registration.sequence < current.sequence:
-            newest = "none" if current is None else f"{current.sequence}"
-            text = (
-                f"Registration of {registration.incarnation} is ignored:"
-                f" sequence {registration.sequence}, newest {newest}."
-            )
-            logs.info(logs.Component.MEMBER, text)
+        self._registered.set()
+        if before is not None and _has_shrunk(before, registration):
+            # The owner orders again what still has room.
+            self._orders.void_starts()
+        text = (
+            f"Worker {registration.incarnation} registered, sequence"
+            f" {registration.sequence},"
+            f" {'draining' if registration.draining else 'ready'},"
+            f" {registration.capacity}."
+        )
+        logs.info(logs.Component.MEMBER, text)
+        self._signal_change()
 
     def deregister(self, worker_id: str) -> None:
         """Expect the end of an incarnation that the worker has deregistered.
@@ -137,19 +140,29 @@
         ):
             self._state.incarnations.deregister(worker_id)
             return
-        self._leaving = current.incarnation
         text = f"Worker {current.incarnation} has deregistered."
         logs.info(logs.Component.MEMBER, text)
+        if fleet.has_birth(current.incarnation) and not current.draining:
+            # A worker drains before it deregisters; this one may be late.
+            self._doubtful_leave = current.incarnation
+            return
+        self._leaving = current.incarnation
         self._signal_change()
 
-    def _revoke_leave(self, registration: executors.Registration) -> None:
+    def _revoke_leave(self, registration: executors.Registration) -> bool:
         """Expect no end of a worker that registers as ready after all.
 
         The deregistration was a late one of a former incarnation.
+
+        :return: whether its end was expected.
         """
-        if registration.draining or registration.incarnation != self._leaving:
-            return
-        self._leaving = ""
+        if registration.draining:
+            return False
+        self._doubtful_leave = ""
+        was_leaving = registration.incarnation == self._leaving
+        if was_leaving:
+            self._leaving = ""
+        return was_leaving
 
     def record_epoch(self, epoch: int) -> None:
         """Record the epoch of an owner, which permits no starts or renewals.
@@ -378,7 +391,11 @@
         if current is not None and is_current:
             # It may have registered again since the call.
             registration = current
-        if error.refused and self._is_leaving(registration):
+        may_leave = (
+            self._is_leaving(registration)
+            or incarnation == self._doubtful_leave
+        )
+        if error.refused and may_leave:
             self._handle_ended_incarnation(registration, "it has left")
             return
         logs.warn(
--- a/tests/side_faults.py
+++ b/tests/side_faults.py
@@ -12,6 +12,7 @@
 _PAUSES_S: Final = (0.5, 2.0, 6.0, 13.0, 21.0, 30.0)
 _CALL_KINDS: Final = ("start", "renew", "stop")
 _MAX_STEPS: Final = 60
+_CLOCK_OFFSETS_MS: Final = (-30_000, -3_000, 0, 3_000)
 
 Action = Callable[[], None]
 
@@ -112,6 +113,11 @@
         if self._rng.random() < 0.7:
             self._world.spawn(self._register_late, side, former)
 
+    def step_clock(self) -> None:
+        """Set the time of day, which dates the starts of workers."""
+        offset_ms = self._rng.choice(_CLOCK_OFFSETS_MS)
+        self._world.clock_offset_ms = offset_ms
+
     async def _register_late(
         self, side: side_world.Side, former: side_world.Registration
     ) -> None:
--- a/tests/side_world.py
+++ b/tests/side_world.py
@@ -61,6 +61,8 @@
 _BACK_AFTER_S: Final = 3.3
 # Most starts of a deadly task after three workers have crashed under it.
 _MAX_LATE_STARTS: Final = 2
+# Time of day at the beginning of a world.
+_WALL_MS: Final = 1_700_000_000_000
 # How long a task runs unless the world says otherwise.
 _LONG_S: Final = 1e6
 
@@ -171,12 +173,17 @@
             with trio.move_on_after(max(0.001, wait_s)):
                 await changed.wait()
 
+    def can_answer(self, call: Call) -> bool:
+        """Return whether a call is for a worker of its id."""
+        called_id = fleet.worker_id_of(call.incarnation)
+        return called_id == fleet.worker_id_of(self.name)
+
     def may_start(self, call: Call) -> bool:
         """Return whether a start on its way would be carried out now."""
         return (
             self.is_up
             and call.kind == "start"
-            and call.incarnation == self.name
+            and self.can_answer(call)
             and not self.is_unhealthy
             and call.epoch >= self._epoch
             and call.run.run > self._closed.get(call.run.task, 0)
@@ -260,7 +267,10 @@
             )
             for run, state in self.runs.items()
         )
-        return executors.TaskList(self.clock_ms, running, tuple(self.ended))
+        answered = self.name if fleet.has_birth(self.name) else ""
+        return executors.TaskList(
+            self.clock_ms, running, tuple(self.ended), answered
+        )
 
     def _compute_lease_end_ms(self, call: Call) -> int | None:
         """Return the end of a call's lease if the call arrives now."""
@@ -343,6 +353,9 @@
         self.sequence = 0
         self.refuses = False
         name = f"i-{self.side[-1]}-{self._lives}"
+        if self._world.keeps_ids:
+            born_ms = self._world.read_time_of_day_ms()
+            name = fleet.incarnation_name(f"i-{self.side[-1]}", born_ms)
         life = Incarnation(name, self._world, self._world.clock_rate)
         self._world.spawn(life.live)
         return life
@@ -380,7 +393,7 @@
             raise errors.PlatformFailed("refused", sent=False, refused=True)
         if not self.current.is_up:
             await trio.sleep_forever()
-        if call.incarnation != self.current.name:
+        if not self.current.can_answer(call):
             raise errors.ExecutorReplaced("another incarnation")
         if fault is not None and call.lease_end_ms is not None:
             text = f"{call.kind} {call.run} arrives {late_s} s late"
@@ -527,7 +540,11 @@
         self.client = WorkerClient(self._world, self.worker, self.process)
         self._metrics = job_metrics.JobMetrics()
         self.agent = worker_agent.WorkerAgent(
-            self.name, self.client, LEASE_MS, self._metrics
+            self.name,
+            self.client,
+            LEASE_MS,
+            self._metrics,
+            late_call_s=LATE_CALL_S,
         )
         self._sink = owner_link.OwnerSink()
         link = owner_link.OwnerLink(self._sink, self.agent)
@@ -831,6 +848,8 @@
     :ivar history: what happened, for the message of a failed test.
     :ivar acked_done: tasks whose end as done has been acknowledged.
     :ivar clock_rate: how fast the clocks of workers are.
+    :ivar keeps_ids: whether a worker restarts under the id that it had.
+    :ivar clock_offset_ms: how far the time of day is ahead.
     :ivar durations: seconds that the tasks of a job run.
     :ivar deadly: jobs whose tasks crash each worker that starts them.
     :ivar limits_deadly_starts: whether the starts of deadly tasks are
@@ -839,9 +858,14 @@
     """
 
     def __init__(
-        self, nursery: trio.Nursery, network: side_hosts.Network
+        self,
+        nursery: trio.Nursery,
+        network: side_hosts.Network,
+        keeps_ids: bool = False,
     ) -> None:
         """Create a world without hosts."""
+        self.keeps_ids = keeps_ids
+        self.clock_offset_ms = 0
         self.network = network
         self.process_trio = side_hosts.ProcessTrio(network)
         self.log = Log()
@@ -866,6 +890,10 @@
         self.entries += [Entry(self, n) for n in range(entries)]
         self.entries[0].claim()
 
+    def read_time_of_day_ms(self) -> int:
+        """Read the time of day, which may be set forward or back."""
+        return _WALL_MS + int(trio.current_time() * 1e3) + self.clock_offset_ms
+
     def spawn(
         self, function: Callable[..., Awaitable[Any]], *args: Any
     ) -> None:
@@ -1018,15 +1046,19 @@
     sides: int = 2,
     entries: int = 2,
     clock_rate: float = 0.98,
+    keeps_ids: bool = False,
 ) -> None:
-    """Play a scenario, and check that no rule was broken."""
+    """Play a scenario, and check that no rule was broken.
+
+    :param keeps_ids: whether workers restart under the ids that they had.
+    """
     worlds = []
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
             network = side_hosts.Network(nursery)
             with side_hosts.patch_product(network) as patch:
-                world = World(nursery, network)
+                world = World(nursery, network, keeps_ids)
                 patch.setattr(logs, "info", world.note_log_line)
                 patch.setattr(logs, "warn", world.note_log_line)
                 world.clock_rate = clock_rate
--- a/tests/test_side_histories.py
+++ b/tests/test_side_histories.py
@@ -543,12 +543,14 @@
     choose: Callable[[side_faults.Faults], list[side_faults.Action]],
     keeps_duration: bool = False,
     limits_deadly_starts: bool = True,
+    keeps_ids: bool = False,
 ) -> None:
     """Play a history of random faults of some kinds.
 
     :param choose: returns the actions that it is made of.
     :param limits_deadly_starts: whether the starts of deadly tasks are
         checked.
+    :param keeps_ids: whether workers restart under the ids that they had.
     """
 
     async def scenario(world: World) -> None:
@@ -561,7 +563,7 @@
         await faults.play(STEPS, choose(faults))
         await trio.sleep(SILENCE_S + 10.0)
 
-    side_world.play(scenario, sides=3, entries=2)
+    side_world.play(scenario, sides=3, entries=2, keeps_ids=keeps_ids)
 
 
 @pytest.mark.parametrize("keeps_duration", [False, True])
