Reborn workers: the adapter's input, hosts, advice; the soak restarts workers

Tests of what the adapter makes of the start (born) of a registration and a list: faulty values name no incarnation, an id that names can't hold is refused, a list names who has answered. The platform lists hosts, and its adviser answers, by the id alone. The soak's workers state their start, and a kind of fault restarts them under their ids.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+import functools
 import random
 from typing import Final
 from typing import NamedTuple
@@ -133,6 +134,11 @@
     site.call_soon(site.workers[int(name)].crash)
 
 
+def _restart_worker(site: wire_site.Site, name: str) -> None:
+    worker = site.workers[int(name)]
+    site.call_soon(functools.partial(worker.crash, keeps_id=True))
+
+
 def _do_nothing(site: wire_site.Site, name: str) -> None:
     """End a fault that needs no undoing."""
 
@@ -208,6 +214,13 @@
             _change_worker(fails_all=False),
         ),
         FaultKind("worker crashes", "worker", 2, _crash_worker, _do_nothing),
+        FaultKind(
+            "worker restarts under its id",
+            "worker",
+            2,
+            _restart_worker,
+            _do_nothing,
+        ),
         FaultKind(
             "configuration changes", "store", 2, _add_route, _do_nothing
         ),
--- a/soak/run.py
+++ b/soak/run.py
@@ -58,7 +58,12 @@
     ]
     (path / "faults.txt").write_text("\n".join(lines) + "\n")
     site = wire_site.Site(
-        folder, shape.entries, shape.sides, proxied=True, lease_ms=3000
+        folder,
+        shape.entries,
+        shape.sides,
+        proxied=True,
+        lease_ms=3000,
+        states_birth=True,
     )
     with site:
         callers = clients.Callers(site, seed)
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -215,6 +215,24 @@
     assert not cordoned.cordoned
 
 
+# Guards against a host whose worker states its start, and is not found by the
+# id that the platform lists.
+def test_host_of_a_worker_with_a_start_is_cordoned(pool: pools.Pool) -> None:
+    for fake in pool.workers:
+        worker_id = fleet.incarnation_of(fake.name)
+        incarnation = fleet.incarnation_name(worker_id, 5)
+        fake.name = fleet.worker_name(incarnation, fake.side)
+    pool.settle()
+    order = maintenance_rounds.RoundOrder(1, ("m-0",), 30.0, 1)
+    pool.scheduler.maintenance.apply_order(order)
+    worker_id = fleet.worker_id_of(pool.workers[0].name)
+    hosts = [maintenance_rounds.Host("m-0", True, worker_id)]
+    pool.scheduler.maintenance.plan_take_downs(hosts, pool.now)
+    pool.scheduler.maintenance.update_cordons(hosts, pool.now)
+    cordoned = [w.name for w in pool.scheduler.workers.values() if w.cordoned]
+    assert cordoned == [pool.workers[0].name]
+
+
 def test_new_owner_takes_no_host_down_twice(pool: pools.Pool) -> None:
     order_round(pool, 30.0)
     (step,) = run_cycle(pool)
--- a/tests/test_platform_input.py
+++ b/tests/test_platform_input.py
@@ -15,12 +15,15 @@
 from kingcuplever import errors
 from kingcuplever import messages
 from kingcuplever import plain
+from kingcuplever.platform import adviser
 from kingcuplever.platform import executor
 from kingcuplever.platform import hosts
 from kingcuplever.platform import queues
 from kingcuplever.platform import settings
 from kingcuplever.platform import store
 from kingcuplever.process.agent import executor as executors
+from kingcuplever.process.scheduling import advice
+from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import job_table
@@ -378,11 +381,11 @@
 }
 
 
-def _list_tasks(body: bytes) -> executors.TaskList:
+def _list_tasks(body: bytes, incarnation: str = "i-1") -> executors.TaskList:
     async def main() -> executors.TaskList:
         client: Any = _FakeClient(200, body)
         return await executor.Executor(client).renew_and_list(
-            "i-1", 1, 0, None, 0
+            incarnation, 1, 0, None, 0
         )
 
     return trio.run(main)
@@ -441,6 +444,11 @@
         ("Labels", "r1"),
         ("Capacity", {"Cpu": -5, "MemMb": 1}),
         ("State", "gone"),
+        ("born", None),
+        ("born", 1.5),
+        ("born", True),
+        ("born", -1),
+        ("born", "1789281943000"),
     ],
 )
 def test_registration_faulty_in_one_field_is_refused(
@@ -451,6 +459,52 @@
         executor.decode_registration("i-1", REGISTRATION | {name: value}, 0.0)
 
 
+# Guards against ids that the names of incarnations and workers can't hold.
+@pytest.mark.parametrize("worker_id", ["i-1~2", "i@1"])
+def test_id_with_a_separator_of_names_is_refused(worker_id: str) -> None:
+    with pytest.raises(errors.InvalidRequest):
+        executor.decode_registration(worker_id, REGISTRATION, 0.0)
+
+
+# Guards against a list of one life of a worker that is taken for another's.
+def test_list_names_the_incarnation_that_answers() -> None:
+    registration = REGISTRATION | {"born": 5}
+    read = executor.decode_registration("i-1", registration, 0.0)
+    body = json.dumps(TASK_LIST | {"born": 7}).encode()
+    answered = _list_tasks(body, read.incarnation).incarnation
+    assert answered != read.incarnation
+    read = executor.decode_registration("i-1", registration | {"born": 7}, 0.0)
+    assert answered == read.incarnation
+
+
+@pytest.mark.parametrize("born", [None, 1.5, -1, "7"])
+def test_list_with_a_faulty_start_is_refused(born: Any) -> None:
+    body = json.dumps(TASK_LIST | {"born": born}).encode()
+    for incarnation in ("i-1", "i-1~7"):
+        with pytest.raises(errors.PlatformFailed):
+            _list_tasks(body, incarnation)
+
+
+def test_list_without_the_start_that_is_known_is_refused() -> None:
+    body = json.dumps(TASK_LIST).encode()
+    assert not _list_tasks(body, "i-1").incarnation
+    with pytest.raises(errors.PlatformFailed):
+        _list_tasks(body, "i-1~7")
+
+
+# Guards against advice for a worker under another name than its id.
+def test_adviser_is_asked_by_the_ids_of_workers() -> None:
+    name = fleet.worker_name(fleet.incarnation_name("i-1", 5), "side-1")
+    reply = {"Good": [["i-1", "ticket"]], "ValidMs": 1000}
+
+    async def main() -> advice.AdviceReply:
+        client: Any = _FakeClient(200, json.dumps(reply).encode())
+        request = advice.AdviceRequest("j.0.0", (name,))
+        return await adviser.Adviser(client).ask(request)
+
+    assert trio.run(main).tickets == {name: "ticket"}
+
+
 PAGE = {
     "items": [{"Key": "config", "Value": "e30=", "Offset": 4}],
     "HasMore": False,
