--- a/tests/side_faults.py
+++ b/tests/side_faults.py
@@ -113,6 +113,13 @@
         if self._rng.random() < 0.7:
             self._world.spawn(self._register_late, side, former)
 
+    def flap_workers(self) -> None:
+        """Crash some workers at once; their hosts refuse for some seconds."""
+        for side in self._world.sides:
+            if self._rng.random() < 0.6:
+                seconds = self._rng.uniform(0.1, 4.0)
+                self._world.spawn(side.worker.crash, seconds)
+
     def step_clock(self) -> None:
         """Set the time of day, which dates the starts of workers."""
         offset_ms = self._rng.choice(_CLOCK_OFFSETS_MS)
