Former incarnations: their late starts stay known for the next ones too

Cause: a run was forgotten once it was stopped at one successor, within the time in which its call may still arrive. It stays known until then.

--- a/kingcuplever/process/agent/former_incarnations.py
+++ b/kingcuplever/process/agent/former_incarnations.py
@@ -130,8 +130,7 @@
             for run in runs:
                 self.expect_late_start(incarnation, run)
             return False
-        for run in runs:
-            del self._late_starts[worker_id, run]
+        # They stay known, as the next incarnation must stop them as well.
         self.release(worker_id)
         return True
 
--- a/tests/test_reborn_histories.py
+++ b/tests/test_reborn_histories.py
@@ -84,6 +84,20 @@
     side_world.play(scenario, keeps_ids=True)
 
 
+# Guards against the same where two lives have ended before the start arrives:
+# it had been prevented at the second one only.
+def test_late_start_to_a_life_before_the_former_starts_nothing_twice() -> None:
+    async def scenario(world: side_world.World) -> None:
+        side, _ = await lose_start(world)
+        side.worker.restart()
+        await trio.sleep(1.5)
+        side.worker.restart()
+        await trio.sleep(LATE_S + 2.0)
+        assert len(world.find_runs(JOB)) == 1
+
+    side_world.play(scenario, keeps_ids=True)
+
+
 # Guards against a late registration of a former life that hides the newer
 # one, or ends its tasks; also where the side has forgotten which came first.
 @pytest.mark.parametrize("restarts_side", [False, True])
