Isolation: withheld room keeps what open preemptions lack

Cause: a worker that a suspect has alone is withheld by setting its free room to nothing. Where urgent work had preempted the suspect, the room was negative until then, as the preemption's part is subtracted first. The group added its part to nothing, fitted, and was placed beside the suspect that was still being stopped.

Evidence: the world's history, second by second (reclaims at 21.06, placed at 21.12, the victims end at 21.97).

Change: withholding caps the free room at nothing, and leaves what is below. The same for workers that are reserved for a suspect.

Test: test_work_that_preempts_a_suspect_waits_for_its_end failed before (free gpus=-2).

--- a/kingcuplever/process/scheduling/isolation.py
+++ b/kingcuplever/process/scheduling/isolation.py
@@ -53,7 +53,7 @@
         for name in {worker for worker in group.assigned_workers if worker}:
             if name in self._free and name not in self.held:
                 self.held[name] = self._free[name]
-                self._free[name] = model.NO_RESOURCES
+                self._withhold(name)
 
     def select_workers(
         self, group: job_state.Group, eligible: Iterable[fleet.Worker]
@@ -95,9 +95,16 @@
             return ()
         self._has_reserved = True
         for name in chosen:
-            self._free[name] = model.NO_RESOURCES
+            self._withhold(name)
         return tuple(chosen)
 
+    def _withhold(self, name: str) -> None:
+        """Withhold what is free on a worker.
+
+        What open preemptions lack there stays: they add their own part back.
+        """
+        self._free[name] = self._free[name].cap(model.NO_RESOURCES)
+
     def _estimate_wait_s(self, worker: fleet.Worker) -> float:
         """Estimate the time until a worker has no tasks any more."""
         groups = [self._state.find_group(run) for run in worker.allocations]
--- a/kingcuplever/process/scheduling/model.py
+++ b/kingcuplever/process/scheduling/model.py
@@ -44,6 +44,10 @@
             self.gpus - other.gpus,
         )
 
+    def cap(self, most: "Resources") -> "Resources":
+        """Return these resources, but no more than ``most`` of each."""
+        return Resources(*map(min, self, most))
+
     def fits_into(self, available: "Resources") -> bool:
         """Return whether the available resources cover these."""
         return (
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -227,6 +227,27 @@
     assert pool.running_tasks(THIRD)
 
 
+# Guards against a worker over its capacity (LIMIT): urgent work is placed for
+# which a suspect is still being stopped.
+def test_work_that_preempts_a_suspect_waits_for_its_end() -> None:
+    pool = pools.Pool(workers=1, guaranteed={"stable": 8})
+    submit(pool, JOB, OTHER)
+    crash_under(pool, JOB)
+    suspect = next(job for job in (JOB, OTHER) if pool.running_tasks(job))
+    (fake,) = pool.workers
+    fake.delays_orders = True
+    urgent = pools.spec(pools.step(1, 8), queue="urgent")
+    pool.submit(THIRD, urgent)
+    for _ in range(20):
+        pool.settle(1)
+        worker = pool.scheduler.workers[fake.name]
+        assert model.NO_RESOURCES.fits_into(worker.free)
+    assert pool.running_tasks(suspect)
+    fake.delays_orders = False
+    pool.advance_time(1.0)
+    assert pool.running_tasks(THIRD)
+
+
 # Guards against an end that a dead owner has acknowledged and not recorded.
 def test_end_is_recorded_once_its_batch_is_committed() -> None:
     pool = pools.Pool(workers=1)
