--- a/kingcuplever/process/scheduling/isolation.py
+++ b/kingcuplever/process/scheduling/isolation.py
@@ -52,8 +52,7 @@
         self._state.isolated_groups[group] = None
         for name in {worker for worker in group.assigned_workers if worker}:
             if name in self._free and name not in self.held:
-                self.held[name] = self._free[name]
-                self._withhold(name)
+                self.held[name] = self._withhold(name)
 
     def select_workers(
         self, group: job_state.Group, eligible: Iterable[fleet.Worker]
@@ -98,12 +97,14 @@
             self._withhold(name)
         return tuple(chosen)
 
-    def _withhold(self, name: str) -> None:
-        """Withhold what is free on a worker.
+    def _withhold(self, name: str) -> model.Resources:
+        """Withhold what is free on a worker; return how much that is.
 
         What open preemptions lack there stays: they add their own part back.
         """
-        self._free[name] = self._free[name].cap(model.NO_RESOURCES)
+        free = self._free[name]
+        self._free[name] = free.cap(model.NO_RESOURCES)
+        return free.subtract(self._free[name])
 
     def _estimate_wait_s(self, worker: fleet.Worker) -> float:
         """Estimate the time until a worker has no tasks any more."""
