Test: a takeover counts the silence of a side anew (known red)

Evidence: the new test replaces the owner of a dead side after 20 s of silence and fails: 49.3 s, bound 34.1 s (the inequality's 29.1 s and 5 s).

Ruled out: a worker that lives (none answered there again), room (most free).

--- /dev/null
+++ b/tests/test_evidence_of_ends.py
@@ -0,0 +1,34 @@
+"""What an owner knows of runs that nobody lists, and from when on."""
+
+import trio
+
+from tests import side_world
+from tests import test_side_histories as histories
+
+# Silence of a side before its owner is replaced.
+SILENT_S = 20.0
+# A takeover, a placement, and what orders and answers take.
+SLACK_S = 5.0
+
+
+# Guards against a job that stands still for the whole silence of its side
+# once more after a takeover, though the former owner knew of the silence:
+# the users saw a gang wait for 34 s while most workers were free (LOST).
+def test_takeover_does_not_count_a_silence_anew() -> None:
+    async def scenario(world: side_world.World) -> None:
+        side = await histories.place_one_job(world)
+        silent_since = trio.current_time()
+        histories.cut_from_entries(world, side, histories.LONG_S)
+        side.worker.current.crash()
+        await trio.sleep(SILENT_S)
+        former, successor = world.entries
+        assert former.term is not None
+        former.process.kill()
+        successor.claim()
+        with trio.move_on_after(histories.LONG_S):
+            while not world.find_runs(histories.JOB):
+                await trio.sleep(0.1)
+        waited_s = trio.current_time() - silent_since
+        assert waited_s < histories.SILENCE_S + SLACK_S
+
+    side_world.play(scenario)
