--- a/tests/test_end_lags.py
+++ b/tests/test_end_lags.py
@@ -59,6 +59,15 @@
     assert (lag.trouble, lag.known_s) == ("none", 6.0)
 
 
+# Guards against a varied day, whose table has thousandths of a second, that
+# seems to have no troubles.
+def test_troubles_of_a_varied_day_are_read() -> None:
+    varied = "   6.125 s to   14.125 s  node_kill (power) side-a-1"
+    lines = [*make_lines("it has ended."), varied]
+    (lag,) = end_lags.compute_lags(lines).lags
+    assert (lag.trouble, lag.known_s) == ("node_kill", 8.875)
+
+
 # Guards against a trouble of other machines that is taken for the cause.
 def test_trouble_of_other_hosts_has_ended_nothing() -> None:
     other = "    14.0 s to     18.0 s  node_cut (all) side-a-2, side-b-1"
--- a/tools/end_lags.py
+++ b/tools/end_lags.py
@@ -47,7 +47,7 @@
 
 _LINE: Final = re.compile(r"^ *(-?\d+\.\d+) +(\S+) +\S+Z \w+ +\S+ \w+: (.*)$")
 _TROUBLE: Final = re.compile(
-    r"^ +(\d+\.\d) s to +\d+\.\d s +(\w+)(?: \([^)]*\))? (.*)$"
+    r"^ +(\d+\.\d+) s to +\d+\.\d+ s +(\w+)(?: \([^)]*\))? (.*)$"
 )
 _HOST: Final = re.compile(r"^[a-z]+-[a-z-]+-\d+$")
 _PLACED: Final = re.compile(
@@ -97,16 +97,6 @@
     hosts: frozenset[str] = frozenset()
 
 
-class _Run:
-    """A run of a group, placed and not known to have ended.
-
-    :ivar workers: those that hold its members.
-    """
-
-    def __init__(self, workers: frozenset[str]) -> None:
-        self.workers = workers
-
-
 class _Loss(NamedTuple):
     """A run whose end the owner inferred.
 
@@ -130,10 +120,10 @@
             collections.defaultdict(list)
         )
         self.jobs_ms: dict[str, int] = {}
-        self._runs: dict[tuple[str, int], _Run] = {}
-        self._group_of: dict[str, str] = {}
         # Times at which a worker, or the side beside it, showed life.
         self.signs: dict[str, list[float]] = collections.defaultdict(list)
+        # Workers of the runs not known to have ended, by group and number.
+        self._runs: dict[tuple[str, int], frozenset[str]] = {}
 
     def read_line(self, line: str) -> None:
         """Read one line of a play's output."""
@@ -155,9 +145,8 @@
         :param at: its time, in seconds from the start of the traffic.
         """
         if placed := _PLACED.match(text):
-            workers = frozenset(placed.group(3).split(", "))
             key = placed.group(1), int(placed.group(2))
-            self._runs[key] = _Run(workers)
+            self._runs[key] = frozenset(placed.group(3).split(", "))
         elif ended := _ENDED.match(text):
             self.signs[ended.group(3)].append(at)
             self._end_run(ended.group(1), int(ended.group(2)))
@@ -176,15 +165,15 @@
         for group, number in [*self._runs]:
             is_member = group == task or (
                 group.rpartition(".")[0] == step
-                and len(self._runs[group, number].workers) > 1
+                and len(self._runs[group, number]) > 1
             )
             if is_member and number == run:
                 del self._runs[group, number]
 
     def _lose_runs(self, worker: str, reason: str, at: float) -> None:
         """Record the runs that are lost with a removed worker."""
-        for (group, number), run in [*self._runs.items()]:
-            if worker in run.workers:
+        for (group, number), workers in [*self._runs.items()]:
+            if worker in workers:
                 del self._runs[group, number]
                 sign = _classify_reason(reason)
                 loss = _Loss(group, number, worker, sign, at)
