--- a/tools/end_lags.py
+++ b/tools/end_lags.py
@@ -37,6 +37,7 @@
         "replace_core",
         "roll_term",
         "scale_in",
+        "srv_crash",
         "srv_cut",
         "srv_flap",
         "srv_kill",
