--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -126,8 +126,8 @@
             if abs(duration_s - bound_s) < 0.1 * bound_s
         ]
         assert min(near) < bound_s < max(near)
-        # The timeouts of two sites differ by less.
-        assert min(abs(each - bound_s) for each in near) < 0.1
+        # Only the timeouts of two sites, 29.12 and 29.2 s, share a duration.
+        assert min(abs(each - bound_s) for each in near) < 0.003 * bound_s
 
 
 def test_forms_of_one_promise_strike_together_in_both_orders() -> None:
