--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the review's cases."""
