--- a/review/common/site.py
+++ b/review/common/site.py
@@ -50,6 +50,8 @@
 _RECORD_BYTES: Final = 262_144
 _CALL_BYTES: Final = 2_097_152
 _STORE_ANSWER_S: Final = 0.004
+# Ends that an executor returns at a time.
+_MAX_LISTED_ENDS: Final = 500
 _CLIENT_DEADLINE_S: Final = 3.0
 _START_TIMEOUT_S: Final = 30.0
 _STOP_TIMEOUT_S: Final = 8.0
@@ -202,6 +204,17 @@
             ends = len(self._ended_runs)
             await trio.sleep(_POLL_S / 5)
 
+    async def _renew_and_list(
+        self, body: dict[str, Any]
+    ) -> http_server.HttpResponse:
+        """List the tasks, and the oldest ends, 500 at a time."""
+        response = await super()._renew_and_list(body)
+        if response.status != 200:
+            return response
+        document = json.loads(response.body)
+        document["Ended"] = document["Ended"][:_MAX_LISTED_ENDS]
+        return http_server.json_response(document)
+
     async def _send_registrations(self) -> None:
         async with http_client.HttpClient(self._side, 1.0) as client:
             while True:
