Logs and metrics tell why a topic is not read

The processes' own output could not tell a response that never came from one that was given up on its way, named a topic that stays unreadable only once, and no figure said which version was in force.

The client streams responses and counts what has arrived; the line of a read that failed names the offset and the count and is repeated every 10 s; kingcuplever_job_config_version. No limit is changed.

--- a/kingcuplever/connection/http_client.py
+++ b/kingcuplever/connection/http_client.py
@@ -77,11 +77,15 @@
             says whether the request may have reached the server.
         """
         limit_s = self._timeout_s if timeout_s is None else timeout_s
+        transfer = _Transfer()
         with trio.move_on_after(limit_s) as scope:
-            return await self._send_request(method, path, body, headers)
+            return await self._send_request(
+                method, path, body, headers, transfer
+            )
         assert scope.cancelled_caught
         raise errors.PlatformFailed(
-            f"{self._base}{path} did not answer within {limit_s:.1f} s."
+            f"{self._base}{path} did not answer within {limit_s:.1f} s;"
+            f" {transfer.received_bytes} bytes of its response arrived."
         )
 
     async def call_json(
@@ -117,6 +121,7 @@
         path: str,
         body: bytes,
         headers: tuple[tuple[str, str], ...],
+        transfer: "_Transfer",
     ) -> ClientResponse:
         all_headers = [
             ("Host", self._base.removeprefix("http://")),
@@ -124,13 +129,14 @@
             *headers,
         ]
         try:
-            response = await self._pool.request(
+            async with self._pool.stream(
                 method,
                 self._base + path,
                 headers=all_headers,
                 content=body,
                 extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
-            )
+            ) as response:
+                content = await _receive_body(response, transfer)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise errors.PlatformFailed(
                 f"{self._base} can't be reached ({error}).",
@@ -145,4 +151,24 @@
             (name.decode("latin-1").lower(), value.decode("latin-1"))
             for name, value in response.headers
         )
-        return ClientResponse(response.status, received, response.content)
+        return ClientResponse(response.status, received, content)
+
+
+class _Transfer:
+    """How far a call has got.
+
+    :ivar received_bytes: bytes of the response's body that have arrived.
+    """
+
+    def __init__(self) -> None:
+        self.received_bytes = 0
+
+
+async def _receive_body(
+    response: httpcore.Response, transfer: _Transfer
+) -> bytes:
+    parts = []
+    async for part in response.aiter_stream():
+        transfer.received_bytes += len(part)
+        parts.append(part)
+    return b"".join(parts)
--- a/kingcuplever/platform/entry_role.py
+++ b/kingcuplever/platform/entry_role.py
@@ -50,10 +50,14 @@
     """
 
     def __init__(
-        self, job_handler: job_http.JobHttpHandler, owner: job_owner.JobOwner
+        self,
+        job_handler: job_http.JobHttpHandler,
+        owner: job_owner.JobOwner,
+        metrics: job_metrics.JobMetrics,
     ) -> None:
         self._job_handler = job_handler
         self._owner = owner
+        self._metrics = metrics
         self._evacuations = evacuations.EvacuationTable()
 
     def apply_records(self, records: Sequence[keyed_log.StoredRecord]) -> None:
@@ -88,6 +92,7 @@
             return
         self._job_handler.queues = config
         self._owner.set_policy(config.policy)
+        self._metrics.config_version.set(config.version)
         text = (
             f"Configuration {config.version} is in force:"
             f" {len(config.routes)} queues, {len(config.account_by_key)} keys."
@@ -153,7 +158,7 @@
             links=links,
             serve=relay_handler.handle,
         )
-        sink = _OperatorSink(job_handler, owner)
+        sink = _OperatorSink(job_handler, owner, metrics)
         operator_follower = topic_follower.Follower(
             log, queues.TOPIC, sink, _OPERATOR_READ_PAUSE_S, metrics
         )
--- a/kingcuplever/process/job_metrics.py
+++ b/kingcuplever/process/job_metrics.py
@@ -144,6 +144,11 @@
             ["topic"],
             registry=self.registry,
         )
+        self.config_version = prometheus_client.Gauge(
+            "kingcuplever_job_config_version",
+            "Version of the queues' configuration that is in force.",
+            registry=self.registry,
+        )
         self.task_orders = prometheus_client.Counter(
             "kingcuplever_task_orders",
             "Starts and stops at this side's worker by outcome.",
--- a/kingcuplever/process/stored/topic_follower.py
+++ b/kingcuplever/process/stored/topic_follower.py
@@ -23,6 +23,8 @@
 # same time do not retry at the same time.
 _RETRY_S: Final = 0.15
 _RETRY_JITTER_S: Final = 0.1
+# How often a topic that can't be read is reported.
+_REPORT_PERIOD_S: Final = 10.0
 
 
 class Sink(Protocol):
@@ -70,6 +72,7 @@
         self._topic = topic
         self._sink = sink
         self._failing = False
+        self._reported_at = float("-inf")
         self._pause_end = trio.Event()
 
     def age_s(self, now: float) -> float:
@@ -157,7 +160,13 @@
 
     def _record_failure(self, error: errors.LogUnavailable) -> None:
         self._failures.inc()
-        if not self._failing:
-            self._failing = True
-            text = f"Topic {self._topic} can't be read: {error.detail}"
-            logs.warn(logs.Component.LOG, text)
+        now = trio.current_time()
+        if self._failing and now - self._reported_at < _REPORT_PERIOD_S:
+            return
+        self._failing = True
+        self._reported_at = now
+        text = (
+            f"Topic {self._topic} can't be read from offset {self.offset}:"
+            f" {error.detail}"
+        )
+        logs.warn(logs.Component.LOG, text)
