--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -1,8 +1,8 @@
 """A fault-injecting TCP proxy for tests.
 
-It forwards connections between two processes and delays or drops their data,
-in one direction or both, refuses connections or cuts them.  Faults are set by
-a control request.
+It forwards connections between two processes and delays, slows or drops their
+data, in one direction or both, refuses connections or cuts them.  Faults are set
+by a control request.
 """
 
 from typing import Any
@@ -14,6 +14,8 @@
 import trio
 
 _CHUNK_BYTES: Final = 65536
+# A slow direction forwards so many chunks a second.
+_SLOW_CHUNKS_PER_S: Final = 20
 
 
 class DirectionFaults:
@@ -21,12 +23,21 @@
 
     :ivar delay_s: delay of each chunk of data, in seconds.
     :ivar drops_data: whether data is received and not sent on.
+    :ivar bytes_per_s: bandwidth of each connection; 0 for no limit.
     """
 
     def __init__(self) -> None:
         """Start without faults."""
         self.delay_s = 0.0
         self.drops_data = False
+        self.bytes_per_s = 0
+
+    @property
+    def chunk_bytes(self) -> int:
+        """Most bytes that are forwarded at once."""
+        if not self.bytes_per_s:
+            return _CHUNK_BYTES
+        return max(1, self.bytes_per_s // _SLOW_CHUNKS_PER_S)
 
 
 class Proxy:
@@ -73,8 +84,8 @@
         """Set the faults that ``changes`` names; the others stay.
 
         ``refuse`` closes new connections at once, ``cut`` closes the open
-        ones.  ``forward`` and ``backward`` hold ``delay_s`` and ``swallow``,
-        which drops the data.
+        ones.  ``forward`` and ``backward`` hold ``delay_s``, ``bytes_per_s``
+        and ``swallow``, which drops the data.
         """
         controls.check_names(changes, "refuse", "forward", "backward", "cut")
         self._is_refusing = changes.get("refuse", self._is_refusing)
@@ -85,6 +96,9 @@
             faults = changes.get(name, {})
             direction.delay_s = faults.get("delay_s", direction.delay_s)
             direction.drops_data = faults.get("swallow", direction.drops_data)
+            direction.bytes_per_s = faults.get(
+                "bytes_per_s", direction.bytes_per_s
+            )
         if changes.get("cut", False):
             for stream in list(self._streams):
                 await trio.aclose_forcefully(stream)
@@ -116,9 +130,11 @@
         nursery: trio.Nursery,
     ) -> None:
         try:
-            while data := await source.receive_some(_CHUNK_BYTES):
+            while data := await source.receive_some(direction.chunk_bytes):
                 if direction.delay_s:
                     await trio.sleep(direction.delay_s)
+                if direction.bytes_per_s:
+                    await trio.sleep(len(data) / direction.bytes_per_s)
                 if not direction.drops_data:
                     await sink.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
