--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -1,8 +1,8 @@
 """A fault-injecting TCP proxy for tests.
 
 It forwards connections between two processes and delays, slows or drops their
-data, in one direction or both, refuses connections or cuts them.  Faults are set
-by a control request.
+data, in one direction or both, refuses connections or cuts them.  Faults are
+set by a control request.
 """
 
 from typing import Any
