Timeouts of calls bound a lack of progress, not a transfer

Cause: a call had its timeout as a whole. A configuration of 840 kB needs 1.5 s on a link of 5 Mbit/s, a read had 1.3 s, of which the long poll may use 0.7 s; so it was given up, dropped and begun again, for ever, and took the whole link.

Change: each part of a response that arrives extends the timeout, down to 16 kB/s; a request has more time by its size, at 128 kB/s, as the kernel hides its progress. Silence is found as soon as before. A request to a target keeps a timeout for the whole call, its caller's deadline.

--- a/kingcuplever/connection/http_client.py
+++ b/kingcuplever/connection/http_client.py
@@ -2,6 +2,9 @@
 
 A failed call raises an error that says whether the request may have reached
 the server, and so whether it is safe to send it again.
+
+A timeout bounds how long a call may make no progress, not how much it may
+transfer: a call that needs longer than that would fail in each of its tries.
 """
 
 import json
@@ -21,6 +24,11 @@
 # request was certainly not sent, after a call timeout that is unknown.  A
 # lost SYN packet is retransmitted only after 1 s.
 CONNECT_TIMEOUT_S: Final = 0.4
+# A slower transfer is given up.  The progress of a request is not seen, as the
+# kernel buffers it, so its rate bounds how late a lost one is detected.
+_MIN_SENT_BYTES_PER_S: Final = 128 * 1024
+_MIN_RECEIVED_BYTES_PER_S: Final = 16 * 1024
+_MAX_RESPONSE_BYTES: Final = 64 * 1024 * 1024
 
 
 class ClientResponse(NamedTuple):
@@ -38,7 +46,7 @@
         """Create the pool without opening a connection.
 
         :param address: IP address and port, ``host:port``.
-        :param timeout_s: default timeout of one call.
+        :param timeout_s: default timeout of a call.
         """
         self._base = f"http://{address}"
         self._timeout_s = timeout_s
@@ -69,22 +77,30 @@
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
         timeout_s: float | None = None,
+        extends: bool = True,
     ) -> ClientResponse:
         """Make one call, without any retry.
 
-        :param timeout_s: timeout of the whole call, if not the default.
+        :param timeout_s: timeout in seconds, if not the default.
+        :param extends: whether the timeout is extended by the size of the
+            request, and by each part of the response that arrives; else it is
+            that of the whole call.
         :raises errors.PlatformFailed: no complete response arrived; ``sent``
             says whether the request may have reached the server.
         """
         limit_s = self._timeout_s if timeout_s is None else timeout_s
-        transfer = _Transfer()
+        if extends:
+            limit_s += len(body) / _MIN_SENT_BYTES_PER_S
+        began_at = trio.current_time()
         with trio.move_on_after(limit_s) as scope:
+            transfer = _Transfer(scope, limit_s, extends)
             return await self._send_request(
                 method, path, body, headers, transfer
             )
         assert scope.cancelled_caught
+        elapsed_s = trio.current_time() - began_at
         raise errors.PlatformFailed(
-            f"{self._base}{path} did not answer within {limit_s:.1f} s;"
+            f"{self._base}{path} did not answer within {elapsed_s:.1f} s;"
             f" {transfer.received_bytes} bytes of its response arrived."
         )
 
@@ -136,7 +152,7 @@
                 content=body,
                 extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
             ) as response:
-                content = await _receive_body(response, transfer)
+                content = await transfer.receive(response)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise errors.PlatformFailed(
                 f"{self._base} can't be reached ({error}).",
@@ -155,20 +171,41 @@
 
 
 class _Transfer:
-    """How far a call has got.
+    """Receives the response of one call and extends its timeout.
 
     :ivar received_bytes: bytes of the response's body that have arrived.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, scope: trio.CancelScope, timeout_s: float, extends: bool
+    ) -> None:
         self.received_bytes = 0
+        self._scope = scope
+        self._timeout_s = timeout_s
+        self._extends = extends
+        # When the call is given up at the lowest rate of transfer.
+        self._slowest_end = scope.deadline
 
+    async def receive(self, response: httpcore.Response) -> bytes:
+        """Receive the response's body.
 
-async def _receive_body(
-    response: httpcore.Response, transfer: _Transfer
-) -> bytes:
-    parts = []
-    async for part in response.aiter_stream():
-        transfer.received_bytes += len(part)
-        parts.append(part)
-    return b"".join(parts)
+        :raises errors.PlatformFailed: if it is too long.
+        """
+        parts = []
+        async for part in response.aiter_stream():
+            self.received_bytes += len(part)
+            if self.received_bytes > _MAX_RESPONSE_BYTES:
+                raise errors.PlatformFailed(
+                    f"A response exceeds {_MAX_RESPONSE_BYTES} bytes."
+                )
+            parts.append(part)
+            if self._extends:
+                self._extend(len(part))
+        return b"".join(parts)
+
+    def _extend(self, size_bytes: int) -> None:
+        """Extend the timeout after a part of the response has arrived."""
+        self._slowest_end += size_bytes / _MIN_RECEIVED_BYTES_PER_S
+        self._scope.deadline = min(
+            trio.current_time() + self._timeout_s, self._slowest_end
+        )
--- a/kingcuplever/request/dispatching.py
+++ b/kingcuplever/request/dispatching.py
@@ -188,6 +188,7 @@
                 message.body,
                 tuple((h.name, h.value) for h in message.headers),
                 deadline - started,
+                extends=False,
             )
             target.record_latency(trio.current_time() - started)
         except errors.PlatformFailed as error:
