The operator's topic: replaced records are skipped after a gap

Cause: a follower reads a topic from where it was; its time grows with the number of records missed, at 1.5 s each on a link of 5 Mbit/s, though only the newest of a key counts.

Only the operator's topic, of few long records, is followed so.

--- a/kingcuplever/platform/entry_role.py
+++ b/kingcuplever/platform/entry_role.py
@@ -160,7 +160,12 @@
         )
         sink = _OperatorSink(job_handler, owner, metrics)
         operator_follower = topic_follower.Follower(
-            log, queues.TOPIC, sink, _OPERATOR_READ_PAUSE_S, metrics
+            log,
+            queues.TOPIC,
+            sink,
+            _OPERATOR_READ_PAUSE_S,
+            metrics,
+            skips_replaced=True,
         )
         async with trio.open_nursery() as nursery:
             await nursery.start(
--- a/kingcuplever/process/stored/topic_follower.py
+++ b/kingcuplever/process/stored/topic_follower.py
@@ -1,7 +1,9 @@
 """Follows one keyed topic: reads a snapshot first, then the tail.
 
 One task reads with long polls.  A caller that needs the newest state at once
-requests a refresh, which reads besides the long poll.
+requests a refresh, which reads besides the long poll.  A follower that has
+fallen behind may return to a snapshot and skip the records that newer ones of
+their keys have replaced.
 """
 
 from collections.abc import Sequence
@@ -25,6 +27,8 @@
 _RETRY_JITTER_S: Final = 0.1
 # How often a topic that can't be read is reported.
 _REPORT_PERIOD_S: Final = 10.0
+# A follower that has read nothing for longer has probably fallen behind.
+_MAX_GAP_S: Final = 2.0
 
 
 class Sink(Protocol):
@@ -57,11 +61,14 @@
         read_interval_s: float,
         metrics: job_metrics.JobMetrics,
         wait_ms: int = POLL_WAIT_MS,
+        skips_replaced: bool = False,
     ) -> None:
         """Create a follower that has read nothing yet.
 
         :param read_interval_s: pause, in seconds, after a read with records.
         :param wait_ms: how long a long poll waits for a record.
+        :param skips_replaced: whether to skip records that newer ones have
+            replaced, as far as possible; for a topic of few long records.
         """
         self.offset = -1
         self.last_read_at = float("-inf")
@@ -69,6 +76,7 @@
         self._log = log
         self._failures = metrics.log_failures.labels(topic)
         self._wait_ms = wait_ms
+        self._skips_replaced = skips_replaced
         self._topic = topic
         self._sink = sink
         self._failing = False
@@ -99,10 +107,14 @@
                 continue
             except errors.LogUnavailable as error:
                 self._record_failure(error)
+                if self.age_s(trio.current_time()) > _MAX_GAP_S:
+                    self._skip_replaced()
                 jitter_s = random.random() * _RETRY_JITTER_S
                 await trio.sleep(_RETRY_S + jitter_s)
                 continue
             self._apply(batch)
+            if batch.end > self.offset:
+                self._skip_replaced()
             if batch.records:
                 await self._pause()
 
@@ -144,6 +156,11 @@
         )
         logs.info(logs.Component.LOG, text)
 
+    def _skip_replaced(self) -> None:
+        """Continue with a snapshot, if replaced records are to be skipped."""
+        if self._skips_replaced:
+            self.offset = -1
+
     def _apply(self, batch: keyed_log.ReadBatch) -> None:
         # A concurrent refresh or long poll may have read further.
         if batch.next_offset >= self.offset >= 0:
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -88,7 +88,12 @@
 def make_follower(log: store.Store, sink: Sink) -> topic_follower.Follower:
     """Make a follower of the operator's topic."""
     return topic_follower.Follower(
-        log, TOPIC, sink, 0.02, job_metrics.JobMetrics()
+        log,
+        TOPIC,
+        sink,
+        0.02,
+        job_metrics.JobMetrics(),
+        skips_replaced=True,
     )
 
 
