Records: an odd value ends no process that reads them

Seen in a report of other operators' systems: another writer left one entry that is nested very deeply, or with a number too large, and the readers ended again and again. It could happen here.

Cause: decoders that raise what their caller does not expect. A side read the evacuations on the owner's topic and caught ValueError; RecursionError ended it, and each restart read the record again. A silence of 400 digits passed its decoder, and the entry ended by OverflowError when it converted it.

Change: records and documents of the operator are parsed by lenient_json; a value that is nested too deeply, or a number that has no 64 bits, becomes a value that fits no type, so that the decoders refuse what it stands in.

A port out of range was and is refused.

--- /dev/null
+++ b/kingcuplever/lenient_json.py
@@ -0,0 +1,85 @@
+"""Parses JSON in which single values may be unusable.
+
+Another writer may leave values that are nested too deeply, or numbers that are
+too large, among valid ones.  Each becomes :data:`UNUSABLE`, which fits no
+type, so that decoders refuse the part that it stands in and keep the others.
+"""
+
+import json
+import re
+from typing import Any
+from typing import Final
+
+# Deeper than any document of the interfaces.
+_MAX_DEPTH: Final = 64
+# Longest text of an integer of 64 bits, with its sign.
+_MAX_INTEGER_CHARS: Final = 20
+_INTEGER_LIMIT: Final = 2**63
+_TOKENS: Final = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL)
+# Not valid in JSON, and passed to the hook for constants.
+_UNUSABLE_TEXT: Final = "NaN"
+
+
+class Unusable:
+    """A value that could not be represented."""
+
+    def __repr__(self) -> str:
+        """Describe the value in messages."""
+        return "a value too deep or too large"
+
+
+UNUSABLE: Final = Unusable()
+
+
+def parse(data: bytes | str) -> Any:
+    """Parse a JSON text.
+
+    :raises ValueError: if the text is not JSON in UTF-8.
+    """
+    text = data if isinstance(data, str) else data.decode()
+    try:
+        return _DECODER.decode(text)
+    except RecursionError:
+        return _DECODER.decode(_replace_deep_values(text))
+
+
+def _replace_deep_values(text: str) -> str:
+    """Replace the values that are nested too deeply in a JSON text."""
+    parts = []
+    kept_from = depth = 0
+    for token in _TOKENS.finditer(text):
+        if token[0] in ("[", "{"):
+            depth += 1
+            if depth == _MAX_DEPTH + 1:
+                parts += [text[kept_from : token.start()], _UNUSABLE_TEXT]
+        elif token[0] in ("]", "}"):
+            if depth == _MAX_DEPTH + 1:
+                kept_from = token.end()
+            depth -= 1
+    if depth > _MAX_DEPTH:
+        raise ValueError("brackets are not closed")
+    return "".join([*parts, text[kept_from:]])
+
+
+def _parse_integer(text: str) -> Any:
+    if len(text) <= _MAX_INTEGER_CHARS:
+        value = int(text)
+        if -_INTEGER_LIMIT <= value < _INTEGER_LIMIT:
+            return value
+    return UNUSABLE
+
+
+def _parse_float(text: str) -> Any:
+    value = float(text)
+    return value if abs(value) < float("inf") else UNUSABLE
+
+
+def _parse_constant(_text: str) -> Any:
+    return UNUSABLE
+
+
+_DECODER: Final = json.JSONDecoder(
+    parse_int=_parse_integer,
+    parse_float=_parse_float,
+    parse_constant=_parse_constant,
+)
--- a/kingcuplever/platform/hosts.py
+++ b/kingcuplever/platform/hosts.py
@@ -13,6 +13,7 @@
 from kingcuplever.connection import http_client
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
+from kingcuplever import lenient_json
 from kingcuplever import plain
 from kingcuplever.process.scheduling import maintenance_rounds
 from kingcuplever.process.stored import log_producer
@@ -35,7 +36,7 @@
     :raises errors.InvalidRequest: if the order can't be decoded.
     """
     try:
-        document = json.loads(value)
+        document = lenient_json.parse(value)
         return maintenance_rounds.RoundOrder(
             int(document["Wave"]),
             tuple(str(name) for name in document["Machines"]),
--- a/kingcuplever/platform/queues.py
+++ b/kingcuplever/platform/queues.py
@@ -1,10 +1,10 @@
 """Decodes the operator's configuration and the bodies of jobs."""
 
-import json
 from typing import Any
 from typing import Final
 
 from kingcuplever import errors
+from kingcuplever import lenient_json
 from kingcuplever import plain
 from kingcuplever.process.scheduling import model
 from kingcuplever.version import job_queues
@@ -25,7 +25,7 @@
     :raises errors.InvalidRequest: if it can't be decoded.
     """
     try:
-        return _decode_config(json.loads(data))
+        return _decode_config(lenient_json.parse(data))
     except plain.CONVERSION_ERRORS as error:
         raise errors.InvalidRequest(
             f"The configuration can't be decoded ({error!r})."
--- a/kingcuplever/process/config_holder.py
+++ b/kingcuplever/process/config_holder.py
@@ -6,10 +6,10 @@
 """
 
 from collections.abc import Callable
-import json
 from typing import Any
 from typing import NamedTuple
 
+from kingcuplever import lenient_json
 from kingcuplever import logs
 from kingcuplever import plain
 from kingcuplever.version import configuration
@@ -47,7 +47,7 @@
     def apply_text_if_newer(self, number: int, text: str) -> None:
         """Apply a version that a side has sent, if it is newer."""
         try:
-            self.apply_if_newer(number, json.loads(text))
+            self.apply_if_newer(number, lenient_json.parse(text))
         except plain.CONVERSION_ERRORS as error:
             logs.warn(
                 logs.Component.CONFIG,
--- a/kingcuplever/process/stored/evidence_records.py
+++ b/kingcuplever/process/stored/evidence_records.py
@@ -14,6 +14,7 @@
 
 from kingcuplever.connection import keyed_log
 from kingcuplever import intents
+from kingcuplever import lenient_json
 from kingcuplever import plain
 
 TOPIC: Final = "evidence"
@@ -279,7 +280,7 @@
     :raises plain.ValidationError: if the value is no batch.
     """
     try:
-        document = json.loads(value)
+        document = lenient_json.parse(value)
         rows = tuple(_decode_row(row) for row in document["rows"])
         return Batch(
             int(document["number"]),
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -14,6 +14,7 @@
 from typing import NamedTuple
 
 from kingcuplever.connection import keyed_log
+from kingcuplever import lenient_json
 from kingcuplever import options
 from kingcuplever import plain
 from kingcuplever.process.scheduling import maintenance_rounds
@@ -199,7 +200,7 @@
     if value is None:
         return Tombstone(key)
     try:
-        document = json.loads(value)
+        document = lenient_json.parse(value)
         return _decode_document(key, document)
     except plain.ValidationError:
         raise
--- a/kingcuplever/process/stored/owner_announcements.py
+++ b/kingcuplever/process/stored/owner_announcements.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from kingcuplever.connection import keyed_log
+from kingcuplever import lenient_json
 from kingcuplever import plain
 from kingcuplever.process.scheduling import evacuations
 from kingcuplever.process.stored import job_records
@@ -36,5 +37,5 @@
 
     :raises ValueError: if it is none.
     """
-    document = json.loads(stored.value or b"null")
+    document = lenient_json.parse(stored.value or b"null")
     return plain.from_plain(evacuations.Evacuations, document, stored.key)
--- /dev/null
+++ b/tests/test_odd_entries.py
@@ -0,0 +1,93 @@
+"""Odd entries among good ones: too deep, too large, or out of range."""
+
+import pytest
+
+from kingcuplever.connection import keyed_log
+from kingcuplever import errors
+from kingcuplever import plain
+from kingcuplever.platform import hosts
+from kingcuplever.platform import queues
+from kingcuplever.process.agent import owner_link
+from kingcuplever.process.stored import evidence_records
+from kingcuplever.process.stored import job_records
+from kingcuplever.process.stored import job_table
+from kingcuplever.process.stored import owner_announcements
+
+
+def nest(depth: int) -> str:
+    """Return JSON text of nested lists."""
+    return "[" * depth + "]" * depth
+
+
+# JSON texts of values.  Depths about the limit of a parser are parsed in one
+# place, and are too much for the next one.
+ODD_TEXTS = [
+    *(nest(depth) for depth in (300, *range(700, 1000, 10), 100_000)),
+    '{"a":' * 900 + "1" + "}" * 900,
+    "1" + "0" * 400,
+    "9" * 5000,
+    "-1e999",
+    "NaN",
+    '"10.1.0.9:65536"',
+    '"10.1.0.9:-1"',
+    f'"10.1.0.9:{"9" * 5000}"',
+    '"\\ud800"',
+    '"' + "x" * 100_000 + '"',
+    "null",
+]
+odd_texts = pytest.mark.parametrize("text", ODD_TEXTS, ids=lambda t: t[:12])
+
+
+def make_record(offset: int, key: str, text: str) -> keyed_log.StoredRecord:
+    """Make a record with JSON text as its value."""
+    return keyed_log.StoredRecord(offset, key, text.encode())
+
+
+# Guards against a side that ends, and again after each restart, when it reads
+# one odd record among the announcements.
+@odd_texts
+def test_odd_announcement_is_skipped_and_the_next_one_followed(
+    text: str,
+) -> None:
+    sink = owner_link.OwnerSink()
+    records = [
+        make_record(0, owner_announcements.EVACUATIONS_KEY, text),
+        make_record(1, job_records.OWNER_KEY, text),
+        make_record(2, job_records.OWNER_KEY, f'[9,"e",{text},0,""]'),
+        make_record(3, job_records.OWNER_KEY, '[2,"e","10.1.0.9:80",0,""]'),
+    ]
+    sink.apply_records(records)
+    assert sink.owner is not None and sink.owner.epoch == 2
+
+
+# Guards against an entry that ends, and again after each restart, when it
+# reads one odd record of a job.
+@odd_texts
+def test_odd_record_of_a_job_is_skipped(text: str) -> None:
+    table = job_table.JobTable(lambda: 0.0)
+    keys = ("s:j", "c:j", "j:j", "owner", "p:x", "a:h/y", "config", "e:h")
+    for offset, key in enumerate((*keys, "h:x", "w:1", "q:x")):
+        table.apply_records([make_record(offset, key, text)])
+    for value in (text, f'{{"rows":{text}}}', f'{{"rows":[{text}]}}'):
+        try:
+            evidence_records.decode_batch(value.encode())
+        except plain.ValidationError:
+            continue
+
+
+# Guards against an odd record of the operator's topic that ends an entry.
+@odd_texts
+def test_odd_record_of_the_operator_is_refused(text: str) -> None:
+    texts = (
+        text,
+        f'{{"Version":{text}}}',
+        f'{{"Version":1,"Routes":{text}}}',
+        f'{{"Wave":1,"Machines":["m"],"DurationS":{text},"MaxCount":1}}',
+        f'{{"Wave":1,"Machines":{text},"DurationS":1,"MaxCount":1}}',
+    )
+    for value in texts:
+        for decode in (queues.decode_config, hosts.decode_wave):
+            try:
+                decode(value.encode())
+            except errors.InvalidRequest:
+                continue
