List of hosts: an odd row hides no other

Here one row of another form, too deep for the parser or with a number too large made the whole list unreadable: maintenance was delayed for ever.

Change: each row is decoded by itself. One whose host can be read counts as not up, unless the host has a sound row; one without a host is left out.

--- a/kingcuplever/connection/http_client.py
+++ b/kingcuplever/connection/http_client.py
@@ -18,6 +18,7 @@
 import trio
 
 from kingcuplever import errors
+from kingcuplever import lenient_json
 
 MAX_CONNECTIONS: Final = 60
 # Shorter than the timeout of any whole call: after a connect timeout the
@@ -114,6 +115,8 @@
         """Make one call with a JSON request and response.
 
         :param value: value to send as JSON; with ``None``, the body is empty.
+        :return: the response; its values may be unusable, as
+            :mod:`lenient_json` says.
         :raises errors.PlatformFailed: as :meth:`call`, and if the status is
             300 or more or the response is not JSON.
         """
@@ -125,8 +128,8 @@
                 f" {response.body[:200]!r}."
             )
         try:
-            return json.loads(response.body)
-        except (ValueError, RecursionError) as error:
+            return lenient_json.parse(response.body)
+        except ValueError as error:
             raise errors.PlatformFailed(
                 f"{self._base}{path} sent a response that is not JSON."
             ) from error
--- a/kingcuplever/platform/hosts.py
+++ b/kingcuplever/platform/hosts.py
@@ -68,7 +68,8 @@
 
         :raises errors.PlatformFailed: the list could not be read as a whole.
         """
-        hosts: list[maintenance_rounds.Host] = []
+        hosts: dict[str, maintenance_rounds.Host] = {}
+        odd_hosts: dict[str, maintenance_rounds.Host] = {}
         token = ""
         while True:
             path = "/machines"
@@ -78,14 +79,15 @@
                 "GET", path, None, _CALL_TIMEOUT_S
             )
             try:
-                hosts += [_decode_host(row) for row in page["Machines"]]
+                for row in page["Machines"]:
+                    _add_host(row, hosts, odd_hosts)
                 token = page.get("NextToken") or ""
             except plain.CONVERSION_ERRORS as error:
                 raise errors.PlatformFailed(
                     f"The list of machines can't be decoded ({error!r})."
                 ) from error
             if not token:
-                return hosts
+                return [*(odd_hosts | hosts).values()]
 
     async def begin_maintenance(
         self, step: maintenance_rounds.TakeDown, holder: str, fence: int
@@ -132,8 +134,22 @@
         await producer.append([record])
 
 
-def _decode_host(row: dict[str, Any]) -> maintenance_rounds.Host:
-    worker_id = row.get("Id") or ""
-    return maintenance_rounds.Host(
-        str(row["Machine"]), row["State"] == _UP_STATE, worker_id
-    )
+def _add_host(
+    row: Any,
+    hosts: dict[str, maintenance_rounds.Host],
+    odd_hosts: dict[str, maintenance_rounds.Host],
+) -> None:
+    """Decode a row of the list and add its host.
+
+    :param odd_hosts: takes a host whose other fields are odd, as one that is
+        not up; a row without the name of a host is left out.
+    """
+    name = row.get("Machine") if isinstance(row, dict) else None
+    if not isinstance(name, str):
+        return
+    state, worker_id = row.get("State"), row.get("Id") or ""
+    if isinstance(state, str) and isinstance(worker_id, str):
+        is_up = state == _UP_STATE
+        hosts[name] = maintenance_rounds.Host(name, is_up, worker_id)
+    else:
+        odd_hosts[name] = maintenance_rounds.Host(name, False, "")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,13 +1,19 @@
 """Odd entries among good ones: too deep, too large, or out of range."""
 
+from typing import Any
+
 import pytest
+import trio
 
+from kingcuplever.connection import http_client
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import plain
 from kingcuplever.platform import hosts
 from kingcuplever.platform import queues
+from kingcuplever.platform import store
 from kingcuplever.process.agent import owner_link
+from kingcuplever.process.scheduling import maintenance_rounds
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import job_table
@@ -75,6 +81,63 @@
             continue
 
 
+class _Pages(http_client.HttpClient):
+    """A client that answers each call with the next of some pages."""
+
+    def __init__(self, *pages: str) -> None:
+        super().__init__("127.0.0.1:1", 1.0)
+        self._pages = [*pages]
+
+    async def call(self, *_: Any, **__: Any) -> http_client.ClientResponse:
+        await trio.lowlevel.checkpoint()
+        body = self._pages.pop(0).encode()
+        return http_client.ClientResponse(200, (), body)
+
+
+ROW = '{"Machine":"m-%s","State":"up","Zone":"h","Id":"i-%s","Labels":["a"]}'
+
+
+def list_hosts(*pages: str) -> list[maintenance_rounds.Host]:
+    """List the hosts of some pages."""
+
+    async def main() -> list[maintenance_rounds.Host]:
+        client = _Pages(*pages)
+        return await hosts.HostsClient(
+            client, store.Store(client)
+        ).list_hosts()
+
+    return trio.run(main)
+
+
+# Guards against a list of hosts that is not followed any more, for all hosts,
+# as another writer left one odd row in it.
+@odd_texts
+@pytest.mark.parametrize("field", ["", "Machine", "State", "Id", "Labels"])
+def test_odd_row_of_a_host_hides_no_other(field: str, text: str) -> None:
+    odd = f'{{"Machine":"m-9","State":"up","{field}":{text}}}'
+    odd = odd if field else text
+    rows = [ROW % (1, 1), odd, ROW % (2, 2)]
+    page = f'{{"Machines":[{",".join(rows)}],"NextToken":"x"}}'
+    last = f'{{"Machines":[{ROW % (3, 3)}]}}'
+    found = list_hosts(page, last)
+    for number in (1, 2, 3):
+        name, worker_id = f"m-{number}", f"i-{number}"
+        assert maintenance_rounds.Host(name, True, worker_id) in found
+    assert len({host.name for host in found}) == len(found) <= 4
+    assert all(isinstance(host.worker_id, str) for host in found)
+
+
+# Guards against an odd row that hides the sound one of the same host.
+def test_sound_row_of_a_host_holds_against_an_odd_one() -> None:
+    odd = '{"Machine":"m-1","State":[]}'
+    rows = [odd, ROW % (1, 1), odd, '{"Machine":"m-2","State":7}']
+    found = list_hosts(f'{{"Machines":[{",".join(rows)}]}}')
+    assert sorted(found) == [
+        maintenance_rounds.Host("m-1", True, "i-1"),
+        maintenance_rounds.Host("m-2", False, ""),
+    ]
+
+
 # Guards against an odd record of the operator's topic that ends an entry.
 @odd_texts
 def test_odd_record_of_the_operator_is_refused(text: str) -> None:
