--- a/kingcuplever/platform/store.py
+++ b/kingcuplever/platform/store.py
@@ -2,7 +2,6 @@
 
 import base64
 from collections.abc import Sequence
-import json
 import struct
 from typing import Any
 from typing import Final
@@ -11,6 +10,7 @@
 from kingcuplever.connection import http_client
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
+from kingcuplever import lenient_json
 from kingcuplever import logs
 from kingcuplever import plain
 
@@ -133,8 +133,10 @@
             end = _get_offset(page, "End") if end < 0 else end
             stored = _decode_page(page)
             records += stored
-            if not page.get("HasMore") or not stored:
+            if not page.get("HasMore"):
                 return keyed_log.ReadBatch(end, end, tuple(records))
+            if not stored:
+                raise errors.LogUnavailable("A snapshot's page has no rows.")
             query["After"] = stored[-1].key
 
     async def _get(
@@ -168,8 +170,8 @@
     :raises errors.LogUnavailable: if a successful response is not JSON.
     """
     try:
-        document = json.loads(response.body)
-    except (ValueError, RecursionError) as error:
+        document = lenient_json.parse(response.body)
+    except ValueError as error:
         if response.status == 200:
             raise errors.LogUnavailable(
                 "The log's response is not JSON."
@@ -227,17 +229,20 @@
 def _decode_page(page: dict[str, Any]) -> list[keyed_log.StoredRecord]:
     """Decode one page of a snapshot.
 
-    :raises errors.LogUnavailable: if a row can't be decoded; without it, the
-        snapshot would lack a key.
+    A row without a key is skipped, as a read skips such a record.
+
+    :raises errors.LogUnavailable: if another row can't be decoded; without
+        it, the snapshot would lack a key.
     """
     try:
         return [
             keyed_log.StoredRecord(
                 _get_offset(item, "Offset"),
-                str(item["Key"]),
+                item["Key"],
                 base64.b64decode(item["Value"]),
             )
             for item in page.get("items") or ()
+            if isinstance(item, dict) and isinstance(item.get("Key"), str)
         ]
     except plain.CONVERSION_ERRORS as error:
         raise errors.LogUnavailable(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -154,3 +154,19 @@
                 decode(value.encode())
             except errors.InvalidRequest:
                 continue
+
+
+# Guards against a follower that can never read its snapshot again, as one row
+# of it is odd.
+@pytest.mark.parametrize(
+    "odd", ["3", "null", '{"Key":7,"Value":"dg==","Offset":3}', "{}"]
+)
+def test_odd_row_of_a_snapshot_hides_no_other(odd: str) -> None:
+    row = '{"Key":"a","Value":"dg==","Offset":1}'
+    page = f'{{"items":[{odd},{row}],"End":4}}'
+
+    async def main() -> keyed_log.ReadBatch:
+        return await store.Store(_Pages(page)).read_snapshot("op")
+
+    batch = trio.run(main)
+    assert batch.records == (keyed_log.StoredRecord(1, "a", b"v"),)
