Documents: a number too large for a float is a named fault

An operator's configuration with a number of 400 digits where a float belongs raised OverflowError, past every handler of invalid documents, which expect one kind of error. It is a fault of the value now, with its path; and the message of a fault can be made of any value.

--- a/kingcuplever/plain.py
+++ b/kingcuplever/plain.py
@@ -6,6 +6,7 @@
 paths, so that one error names all of them.
 """
 
+import contextlib
 import functools
 import types
 import typing
@@ -174,7 +175,8 @@
 
 def _build_scalar(typ: Any, value: Any, path: str, faults: list[Fault]) -> Any:
     if typ is float and type(value) is int:
-        return float(value)
+        with contextlib.suppress(OverflowError):
+            return float(value)
     if type(value) is not typ:
         faults.append(Fault(path, _format_value(value), _describe_type(typ)))
     return value
@@ -185,7 +187,10 @@
 
 
 def _format_value(value: Any) -> str:
-    text = repr(value)
+    try:
+        text = repr(value)
+    except (RecursionError, ValueError):
+        return "a value too deep or too large"
     return text if len(text) <= 60 else text[:57] + "..."
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,18 +6,24 @@
 import trio
 
 from kingcuplever.connection import http_client
+from kingcuplever.connection import http_server
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
+from kingcuplever import intents
 from kingcuplever import plain
 from kingcuplever.platform import hosts
 from kingcuplever.platform import queues
 from kingcuplever.platform import store
 from kingcuplever.process.agent import owner_link
+from kingcuplever.process.routing import targets
+from kingcuplever.process.scheduling import evacuations
 from kingcuplever.process.scheduling import maintenance_rounds
+from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import job_table
 from kingcuplever.process.stored import owner_announcements
+from kingcuplever.version import configuration
 
 
 def nest(depth: int) -> str:
@@ -138,6 +144,38 @@
     ]
 
 
+# Guards against an error that no caller expects, from the one function that
+# all documents from outside pass through.
+@odd_texts
+@pytest.mark.parametrize(
+    "kind",
+    [
+        targets.Announcement,
+        configuration.Configuration,
+        evacuations.Evacuations,
+        model.JobSpec,
+        intents.Plan,
+        intents.AccountSpec,
+        configuration.SchedulingConfig,
+    ],
+)
+def test_odd_value_in_a_document_is_a_validation_error(
+    kind: Any, text: str
+) -> None:
+    fields = plain.get_field_types(kind)
+    scheduling = f'{{"scheduling":{{"starvation_s":{text}}}}}'
+    documents = [f'{{"{name}":{text}}}' for name in fields]
+    for document in (text, *documents, scheduling):
+        try:
+            value = http_server.parse_json(document.encode())
+        except errors.InvalidRequest:
+            continue
+        try:
+            plain.from_plain(kind, value)
+        except plain.ValidationError:
+            continue
+
+
 # Guards against an odd record of the operator's topic that ends an entry.
 @odd_texts
 def test_odd_record_of_the_operator_is_refused(text: str) -> None:
