--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,9 +11,11 @@
 from kingcuplever import errors
 from kingcuplever import intents
 from kingcuplever import plain
+from kingcuplever.platform import executor
 from kingcuplever.platform import hosts
 from kingcuplever.platform import queues
 from kingcuplever.platform import store
+from kingcuplever.process.agent import executor as executors
 from kingcuplever.process.agent import owner_link
 from kingcuplever.process.routing import targets
 from kingcuplever.process.scheduling import evacuations
@@ -144,6 +146,36 @@
     ]
 
 
+# Guards against a side that ends by an odd heartbeat, or takes its worker from
+# one; the port of an address out of range is one of the odd texts.
+@odd_texts
+def test_odd_heartbeat_is_refused_and_the_next_one_taken(text: str) -> None:
+    fields = {
+        "Service": '"desk"',
+        "Zone": '"hall"',
+        "State": '"ready"',
+        "Address": '"10.1.0.9:80"',
+        "Capacity": '{"Cpu":16000,"MemMb":32768,"Gpu":8}',
+        "Labels": '["a","r1-3"]',
+        "Seq": "4",
+        "born": "1700000000000",
+    }
+
+    def decode(name: str = "") -> executors.Registration:
+        odd = fields | ({name: text} if name else {})
+        rows = ",".join(f'"{key}":{value}' for key, value in odd.items())
+        document = http_server.parse_json(f"{{{rows}}}".encode())
+        return executor.decode_registration("i-1", document, 0.0)
+
+    for name in fields:
+        if name in ("Service", "Zone") and text.startswith('"10.1.0.9:'):
+            # Any short text is a name.
+            continue
+        with pytest.raises(errors.InvalidRequest):
+            decode(name)
+    assert decode().pool == "desk"
+
+
 # Guards against an error that no caller expects, from the one function that
 # all documents from outside pass through.
 @odd_texts
