Names: malformed entries, in the field's word

Names and comments only: test_odd_entries becomes test_malformed_entries, and a parameter of the list of hosts is named likewise.

--- a/kingcuplever/platform/hosts.py
+++ b/kingcuplever/platform/hosts.py
@@ -69,7 +69,7 @@
         :raises errors.PlatformFailed: the list could not be read as a whole.
         """
         hosts: dict[str, maintenance_rounds.Host] = {}
-        odd_hosts: dict[str, maintenance_rounds.Host] = {}
+        malformed_hosts: dict[str, maintenance_rounds.Host] = {}
         token = ""
         while True:
             path = "/machines"
@@ -80,14 +80,14 @@
             )
             try:
                 for row in page["Machines"]:
-                    _add_host(row, hosts, odd_hosts)
+                    _add_host(row, hosts, malformed_hosts)
                 token = page.get("NextToken") or ""
             except plain.CONVERSION_ERRORS as error:
                 raise errors.PlatformFailed(
                     f"The list of machines can't be decoded ({error!r})."
                 ) from error
             if not token:
-                return [*(odd_hosts | hosts).values()]
+                return [*(malformed_hosts | hosts).values()]
 
     async def begin_maintenance(
         self, step: maintenance_rounds.TakeDown, holder: str, fence: int
@@ -137,12 +137,12 @@
 def _add_host(
     row: Any,
     hosts: dict[str, maintenance_rounds.Host],
-    odd_hosts: dict[str, maintenance_rounds.Host],
+    malformed_hosts: dict[str, maintenance_rounds.Host],
 ) -> None:
     """Decode a row of the list and add its host.
 
-    :param odd_hosts: takes a host whose other fields are odd, as one that is
-        not up; a row without the name of a host is left out.
+    :param malformed_hosts: takes a host whose other fields are malformed, as
+        one that is not up; a row without the name of a host is left out.
     """
     name = row.get("Machine") if isinstance(row, dict) else None
     if not isinstance(name, str):
@@ -152,4 +152,4 @@
         is_up = state == _UP_STATE
         hosts[name] = maintenance_rounds.Host(name, is_up, worker_id)
     else:
-        odd_hosts[name] = maintenance_rounds.Host(name, False, "")
+        malformed_hosts[name] = maintenance_rounds.Host(name, False, "")
--- a/tests/test_odd_entries.py
+++ b/tests/test_malformed_entries.py
@@ -1,4 +1,4 @@
-"""Odd entries among good ones: too deep, too large, or out of range."""
+"""Malformed entries among sound ones: too deep, too large, out of range."""
 
 from typing import Any
 
@@ -35,7 +35,7 @@
 
 # JSON texts of values.  Depths about the limit of a parser are parsed in one
 # place, and are too much for the next one.
-ODD_TEXTS = [
+MALFORMED_TEXTS = [
     *(nest(depth) for depth in (300, *range(700, 1000, 10), 100_000)),
     '{"a":' * 900 + "1" + "}" * 900,
     "1" + "0" * 400,
@@ -49,7 +49,9 @@
     '"' + "x" * 100_000 + '"',
     "null",
 ]
-odd_texts = pytest.mark.parametrize("text", ODD_TEXTS, ids=lambda t: t[:12])
+malformed_texts = pytest.mark.parametrize(
+    "text", MALFORMED_TEXTS, ids=lambda t: t[:12]
+)
 
 
 def make_record(offset: int, key: str, text: str) -> keyed_log.StoredRecord:
@@ -58,9 +60,9 @@
 
 
 # Guards against a side that ends, and again after each restart, when it reads
-# one odd record among the announcements.
-@odd_texts
-def test_odd_announcement_is_skipped_and_the_next_one_followed(
+# one malformed record among the announcements.
+@malformed_texts
+def test_malformed_announcement_is_skipped_and_the_next_one_followed(
     text: str,
 ) -> None:
     sink = owner_link.OwnerSink()
@@ -75,9 +77,9 @@
 
 
 # Guards against an entry that ends, and again after each restart, when it
-# reads one odd record of a job.
-@odd_texts
-def test_odd_record_of_a_job_is_skipped(text: str) -> None:
+# reads one malformed record of a job.
+@malformed_texts
+def test_malformed_record_of_a_job_is_skipped(text: str) -> None:
     table = job_table.JobTable(lambda: 0.0)
     keys = ("s:j", "c:j", "j:j", "owner", "p:x", "a:h/y", "config", "e:h")
     for offset, key in enumerate((*keys, "h:x", "w:1", "q:x")):
@@ -118,13 +120,13 @@
 
 
 # Guards against a list of hosts that is not followed any more, for all hosts,
-# as another writer left one odd row in it.
-@odd_texts
+# as another writer left one malformed row in it.
+@malformed_texts
 @pytest.mark.parametrize("field", ["", "Machine", "State", "Id", "Labels"])
-def test_odd_row_of_a_host_hides_no_other(field: str, text: str) -> None:
-    odd = f'{{"Machine":"m-9","State":"up","{field}":{text}}}'
-    odd = odd if field else text
-    rows = [ROW % (1, 1), odd, ROW % (2, 2)]
+def test_malformed_row_of_a_host_hides_no_other(field: str, text: str) -> None:
+    malformed = f'{{"Machine":"m-9","State":"up","{field}":{text}}}'
+    malformed = malformed if field else text
+    rows = [ROW % (1, 1), malformed, ROW % (2, 2)]
     page = f'{{"Machines":[{",".join(rows)}],"NextToken":"x"}}'
     last = f'{{"Machines":[{ROW % (3, 3)}]}}'
     found = list_hosts(page, last)
@@ -135,10 +137,10 @@
     assert all(isinstance(host.worker_id, str) for host in found)
 
 
-# Guards against an odd row that hides the sound one of the same host.
-def test_sound_row_of_a_host_holds_against_an_odd_one() -> None:
-    odd = '{"Machine":"m-1","State":[]}'
-    rows = [odd, ROW % (1, 1), odd, '{"Machine":"m-2","State":7}']
+# Guards against a malformed row that hides the sound one of the same host.
+def test_sound_row_of_a_host_holds_against_a_malformed_one() -> None:
+    malformed = '{"Machine":"m-1","State":[]}'
+    rows = [malformed, ROW % (1, 1), malformed, '{"Machine":"m-2","State":7}']
     found = list_hosts(f'{{"Machines":[{",".join(rows)}]}}')
     assert sorted(found) == [
         maintenance_rounds.Host("m-1", True, "i-1"),
@@ -146,10 +148,12 @@
     ]
 
 
-# Guards against a side that ends by an odd heartbeat, or takes its worker from
-# one; the port of an address out of range is one of the odd texts.
-@odd_texts
-def test_odd_heartbeat_is_refused_and_the_next_one_taken(text: str) -> None:
+# Guards against a side that ends by a malformed heartbeat, or takes its worker
+# from one, such as one with a port out of range.
+@malformed_texts
+def test_malformed_heartbeat_is_refused_and_the_next_one_taken(
+    text: str,
+) -> None:
     fields = {
         "Service": '"desk"',
         "Zone": '"hall"',
@@ -162,8 +166,8 @@
     }
 
     def decode(name: str = "") -> executors.Registration:
-        odd = fields | ({name: text} if name else {})
-        rows = ",".join(f'"{key}":{value}' for key, value in odd.items())
+        malformed = fields | ({name: text} if name else {})
+        rows = ",".join(f'"{key}":{value}' for key, value in malformed.items())
         document = http_server.parse_json(f"{{{rows}}}".encode())
         return executor.decode_registration("i-1", document, 0.0)
 
@@ -178,7 +182,7 @@
 
 # Guards against an error that no caller expects, from the one function that
 # all documents from outside pass through.
-@odd_texts
+@malformed_texts
 @pytest.mark.parametrize(
     "kind",
     [
@@ -191,7 +195,7 @@
         configuration.SchedulingConfig,
     ],
 )
-def test_odd_value_in_a_document_is_a_validation_error(
+def test_malformed_value_in_a_document_is_a_validation_error(
     kind: Any, text: str
 ) -> None:
     fields = plain.get_field_types(kind)
@@ -208,9 +212,9 @@
             continue
 
 
-# Guards against an odd record of the operator's topic that ends an entry.
-@odd_texts
-def test_odd_record_of_the_operator_is_refused(text: str) -> None:
+# Guards against a malformed record of the operator's topic that ends an entry.
+@malformed_texts
+def test_malformed_record_of_the_operator_is_refused(text: str) -> None:
     texts = (
         text,
         f'{{"Version":{text}}}',
@@ -227,13 +231,13 @@
 
 
 # Guards against a follower that can never read its snapshot again, as one row
-# of it is odd.
+# of it is malformed.
 @pytest.mark.parametrize(
-    "odd", ["3", "null", '{"Key":7,"Value":"dg==","Offset":3}', "{}"]
+    "malformed", ["3", "null", '{"Key":7,"Value":"dg==","Offset":3}', "{}"]
 )
-def test_odd_row_of_a_snapshot_hides_no_other(odd: str) -> None:
+def test_malformed_row_of_a_snapshot_hides_no_other(malformed: str) -> None:
     row = '{"Key":"a","Value":"dg==","Offset":1}'
-    page = f'{{"items":[{odd},{row}],"End":4}}'
+    page = f'{{"items":[{malformed},{row}],"End":4}}'
 
     async def main() -> keyed_log.ReadBatch:
         return await store.Store(_Pages(page)).read_snapshot("op")
