--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -85,7 +85,9 @@
         """Prepare for a snapshot."""
 
 
-def make_follower(log: store.Store, sink: Sink) -> topic_follower.Follower:
+def make_follower(
+    log: store.Store, sink: Sink, skips_replaced: bool = False
+) -> topic_follower.Follower:
     """Make a follower of the operator's topic."""
     return topic_follower.Follower(
         log,
@@ -93,13 +95,14 @@
         sink,
         0.02,
         job_metrics.JobMetrics(),
-        skips_replaced=True,
+        skips_replaced=skips_replaced,
     )
 
 
-async def follow(log: store.Store, sink: Sink, key: str) -> None:
+async def follow(
+    follower: topic_follower.Follower, sink: Sink, key: str
+) -> None:
     """Follow a topic until a key is there."""
-    follower = make_follower(log, sink)
     with trio.fail_after(TRANSFER_TIMEOUT_S):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(follower.run)
@@ -129,11 +132,12 @@
 ) -> None:
     async def main(site: SlowSite) -> None:
         sink = Sink()
+        follower = make_follower(site.log, sink)
         if not in_snapshot:
             site.standin.write_record(TOPIC, "first", "x")
-            await follow(site.log, sink, "first")
+            await follow(follower, sink, "first")
         site.standin.write_record(TOPIC, "config", "x" * RECORD_BYTES)
-        await follow(site.log, sink, "config")
+        await follow(follower, sink, "config")
         assert len(sink.values["config"] or b"") > RECORD_BYTES
 
     run_on_slow_link("backward", main)
@@ -149,7 +153,7 @@
         sink = Sink()
         site.standin.write_record(TOPIC, "config", "first")
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(make_follower(site.log, sink).run)
+            nursery.start_soon(make_follower(site.log, sink, True).run)
             while not sink.values:
                 await trio.sleep(0.02)
             if silent_s:
