--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -144,6 +144,7 @@
         }
         self._ports = self._find_ports()
         self._settings: dict[str, str] = {}
+        self._ended_at: dict[str, float] = {}
         self._token: trio.lowlevel.TrioToken | None = None
         self._scope: trio.CancelScope | None = None
         self._started = threading.Event()
@@ -287,6 +288,7 @@
             self._token.run_sync_soon(self._scope.cancel)
             self._thread.join(5)
         self._collect_events()
+        self._collect_tracebacks()
         self._temp.cleanup()
 
     def _start_program(
@@ -324,6 +326,29 @@
         self._start_program(name, role, ip, is_edge)
         self.record.write(f"{name} is started again")
 
+    def restart_ended(self, pause_s: float) -> list[str]:
+        """Start the processes again that have ended by themselves.
+
+        :param pause_s: how long after its end the platform does that.
+        :return: those that have ended since the last call.
+        """
+        now = time.time()
+        ended = []
+        for name, process in self.processes.items():
+            if process.poll() is None:
+                continue
+            if name not in self._ended_at:
+                self._ended_at[name] = now
+                ended.append(name)
+                self.record.write(
+                    f"{name} has ended by itself, code {process.returncode}"
+                )
+        for name, at in [*self._ended_at.items()]:
+            if now - at >= pause_s:
+                del self._ended_at[name]
+                self.restart_program(name)
+        return ended
+
     def start_executor(self, machine: Machine) -> None:
         """Start the next life of a machine's executor."""
         machine.life += 1
@@ -528,15 +553,17 @@
         path: str,
         body: Any = None,
         quiet: bool = False,
+        key: str = API_KEY,
     ) -> tuple[int, Any]:
         """Send one request of a client; 0 stands for no answer."""
         data = b"" if body is None else json.dumps(body).encode()
         headers = {
             "Host": HOST,
-            "X-Api-Key": API_KEY,
             "X-Kingcuplever-Deadline-Ms": str(DEADLINE_MS),
             "Content-Type": "application/json",
         }
+        if key:
+            headers["X-Api-Key"] = key
         connection = http.client.HTTPConnection(
             self.edges[edge], self._ports, timeout=DEADLINE_MS / 1000
         )
@@ -557,12 +584,18 @@
             )
         return status, document
 
-    def submit(self, edge: str, prefix: str, job: dict[str, Any]) -> str:
+    def submit(
+        self,
+        edge: str,
+        prefix: str,
+        job: dict[str, Any],
+        key: str = API_KEY,
+    ) -> str:
         """Hand a job in; return its id once it is accepted."""
         name = secrets.token_hex(8)
         deadline = time.time() + READY_TIMEOUT_S
         while time.time() < deadline:
-            status, _ = self.call(edge, "POST", prefix + name, job)
+            status, _ = self.call(edge, "POST", prefix + name, job, key=key)
             if 200 <= status < 300:
                 return name
             time.sleep(0.5)
@@ -642,6 +675,14 @@
                 row["at"],
             )
 
+    def _collect_tracebacks(self) -> None:
+        """Add the last line of each entry's traceback to the record."""
+        for name in self.edges:
+            lines = self.read_log(name).splitlines()
+            errors = [line for line in lines if "Error: " in line]
+            for line in sorted(set(errors))[-1:]:
+                self.record.write(f"{name} has written: {line.strip(' |')}")
+
     def read_log(self, name: str) -> str:
         """Return what a process of the project has written."""
         path = self.temp / f"{name}.log"
