--- a/review/rig-2/executor.py
+++ b/review/rig-2/executor.py
@@ -204,7 +204,9 @@
         pause_s = options.heartbeat_ms / 1000
         try:
             connection.request("PUT", f"/instances/{options.id}", body)
-            if connection.getresponse().status != 200:
+            if connection.getresponse().status == 200:
+                executor.record("heartbeat acked")
+            else:
                 pause_s = 0.3
         except (OSError, http.client.HTTPException):
             # The side is not up; a heartbeat that failed is sent again soon.
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -380,6 +380,14 @@
         machine.executor.wait()
         self.record.write(f"{machine.executor_id} on {machine.name} crashes")
 
+    def control_of(self, machine: Machine) -> tuple[str, int]:
+        """Return the address where a machine's executor registers."""
+        return machine.ip, self._ports + 2
+
+    def is_running(self, name: str) -> bool:
+        """Return whether one of the project's processes runs."""
+        return self.processes[name].poll() is None
+
     def signal_program(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one of the project's processes."""
         self.processes[name].send_signal(number)
@@ -665,6 +673,8 @@
     def _collect_events(self) -> None:
         """Add what the executors ran to the record."""
         for row in self.read_events():
+            if row["event"] == "heartbeat acked":
+                continue
             details = " ".join(
                 f"{key} {value}"
                 for key, value in row.items()
