--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,11 +1,15 @@
 """One urgent job without accelerators makes each owner crash, in a loop."""
 
 import collections
+import os
 import pathlib
 import time
 
 import rig
 
+# Whether the disruption is played.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 RACKS = ("r1-1", "r1-1", "r1-1", "r1-2")
 # The platform starts a process again so long after its end.
 RESTART_S = 1.0
@@ -41,7 +45,7 @@
         }
         public = site.submit(edges[0], "/alerts/", alert, key="")
         site.wait_for(lambda: site.find_machine_of(f"{public}.0.0.0"), "a run")
-        if rig.has_trouble():
+        if HAS_TROUBLE:
             # Jobs like the users' species-split: 9 tasks on 11 cores each.
             step = rig.make_step(Count=9, Cpu=11_000, EstRuntimeMs=20_000)
             batch = {"Spec": '{"seconds": 20}', "Steps": [step]}
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,12 +1,16 @@
 """One heartbeat that can't be read keeps a side from all else."""
 
 import json
+import os
 import pathlib
 import socket
 import time
 
 import rig
 
+# Whether the disruption is played.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 RACKS = ("r1-1", "r1-1", "r1-1", "r1-2")
 # Far below the 4 MiB that a heartbeat may have.
 BODY_BYTES = 256 * 1024
@@ -61,7 +65,7 @@
         task = f"{name}.0.0.0"
         machine = site.wait_for(lambda: site.find_machine_of(task), "a run")
         time.sleep(3.0)
-        if rig.has_trouble():
+        if HAS_TROUBLE:
             send_foreign_heartbeat(site, machine)
         sent_at = time.time()
         time.sleep(WATCH_S)
--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -667,11 +667,6 @@
     return step | {"EstRuntimeMs": 5000} | overrides
 
 
-def has_trouble() -> bool:
-    """Return whether the disruption is to be played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def run_case(play: Callable[[], bool]) -> None:
     """Run a case and exit: 1 if the rule broke, 0 if it held, 2 if neither.
 
