Guarantees: an account that is not listed has none

Cause: the guarantee of an account was looked up with a default of 0 in one line and without one in the next. A group without accelerators is within 0, so for an account that the configuration doesn't list, as that of a public call or of a tenant that was dropped, Preemptor._find_protected raised KeyError as soon as an urgent group found no room. The exception ended the process, and the log led the next owner to the same state.

SchedulingCycle.is_guaranteed had the same root without the exception: 0 of 0 counted as guaranteed, so a public group without accelerators could stop other accounts' urgent work at any cost.

Change: both ask one GuaranteeUsage, in which an account that is not listed covers nothing. For listed accounts the counts are as before.

--- a/kingcuplever/process/scheduling/preemptor.py
+++ b/kingcuplever/process/scheduling/preemptor.py
@@ -10,6 +10,7 @@
 
 from kingcuplever import logs
 from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import guarantees
 from kingcuplever.process.scheduling import job_state
 from kingcuplever.process.scheduling import placement
 from kingcuplever.process.scheduling import preemption
@@ -218,16 +219,15 @@
         protected, _ = state.accounts.find_covered_groups(
             state.jobs.values(), state.workers
         )
-        guaranteed_gpus = dict(state.policy.guaranteed_gpus)
+        usage = guarantees.GuaranteeUsage(state.policy.guaranteed_gpus)
         for job in state.jobs.values():
             if state.queue_policy_of(job).priority != 0:
                 continue
-            account = job.spec.account
             for group in job.groups():
                 if group.phase != job_state.ASSIGNED or group.stop_reason:
                     continue
-                if group.gpus <= guaranteed_gpus.get(account, 0):
-                    guaranteed_gpus[account] -= group.gpus
+                if usage.covers(group):
+                    usage.add(group)
                     protected.add(group)
         return protected
 
--- a/kingcuplever/process/scheduling/scheduling_cycle.py
+++ b/kingcuplever/process/scheduling/scheduling_cycle.py
@@ -5,6 +5,7 @@
 from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import bindings
 from kingcuplever.process.scheduling import fleet
+from kingcuplever.process.scheduling import guarantees
 from kingcuplever.process.scheduling import isolation
 from kingcuplever.process.scheduling import job_state
 from kingcuplever.process.scheduling import placement
@@ -41,7 +42,7 @@
             tuple[str, str, str, bool], list[fleet.Worker]
         ] = {}
         self._unplaceable: set[tuple[object, ...]] = set()
-        self._urgent_gpus: dict[str, int] | None = None
+        self._urgent_usage: guarantees.GuaranteeUsage | None = None
         self._usage: accounts.Usage | None = None
 
     @functools.cached_property
@@ -118,40 +119,30 @@
 
     def is_guaranteed(self, group: job_state.Group) -> bool:
         """Return whether the count of its account covers an urgent group."""
-        self.ensure_urgent_counted()
-        assert self._urgent_gpus is not None
-        account = group.job.spec.account
-        guaranteed = self._state.policy.guaranteed_gpus.get(account, 0)
-        used = self._urgent_gpus.get(account, 0)
-        return used + group.gpus <= guaranteed
+        return self.ensure_urgent_counted().covers(group)
 
     def add_urgent(self, group: job_state.Group) -> None:
         """Add an urgent group that is placed or has preempted other work."""
-        assert self._urgent_gpus is not None
-        account = group.job.spec.account
-        used = self._urgent_gpus.get(account, 0)
-        self._urgent_gpus[account] = used + group.gpus
+        self.ensure_urgent_counted().add(group)
 
-    def ensure_urgent_counted(self) -> None:
+    def ensure_urgent_counted(self) -> guarantees.GuaranteeUsage:
         """Count the accelerators of urgent work, unless already counted.
 
         Must be called before the first urgent group is placed:
         :meth:`add_urgent` adds those of this cycle.
         """
-        if self._urgent_gpus is not None:
-            return
-        counts: dict[str, int] = {}
+        if self._urgent_usage is not None:
+            return self._urgent_usage
+        policy = self._state.policy
+        usage = guarantees.GuaranteeUsage(policy.guaranteed_gpus)
         for job in self._state.jobs.values():
             if self._state.queue_policy_of(job).priority != 0:
                 continue
-            used = sum(
-                group.gpus
-                for group in job.groups()
-                if group.phase == job_state.ASSIGNED
-            )
-            account = job.spec.account
-            counts[account] = counts.get(account, 0) + used
-        self._urgent_gpus = counts
+            for group in job.groups():
+                if group.phase == job_state.ASSIGNED:
+                    usage.add(group)
+        self._urgent_usage = usage
+        return usage
 
     def _equivalence_class(
         self, group: job_state.Group, pool: str
