Containment: the error of one item leaves the others served

Change: passes over jobs, groups, workers, records, orders and messages handle each item within ErrorBarrier.contain, which ends the handling of that item only, logs it with the place of the error, ever less often, and counts it in kingcuplever_contained_errors. What changes state does so after what can fail (binder.bind); a run whose record can't be made does not start; a job that can't be loaded is left out, and its runs are stopped. The tasks of a process run again after an error, and a term that fails is given up by a resignation.

Means to see it: a pool of the pure tests fails on any contained error, and a site of real processes, in tests and in the soak, on any contained error or traceback that a process has written. Until now the soak started again what had ended by itself, and asked nothing.

--- a/kingcuplever/connection/http_server.py
+++ b/kingcuplever/connection/http_server.py
@@ -20,8 +20,8 @@
 from kingcuplever.connection import connection_table
 from kingcuplever.connection import http_connection
 from kingcuplever.connection import listener
+from kingcuplever import containment
 from kingcuplever import errors
-from kingcuplever import logs
 
 # Longest body where a listener sets no other bound: a heartbeat of a worker.
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
@@ -170,8 +170,8 @@
         return _refuse(error)
     except Exception as error:
         # Whatever one request brings about, the others are served.
-        text = f"{request.method} {request.path!r:.80}: {error!r:.200}."
-        logs.warn(logs.Component.PROCESS, text)
+        item = f"{request.method} {request.path!r:.70}"
+        containment.report_error("request", item, error)
         return HttpResponse(500, (), b"")
 
 
--- a/kingcuplever/connection/listener.py
+++ b/kingcuplever/connection/listener.py
@@ -11,7 +11,7 @@
 
 from kingcuplever.connection import admission
 from kingcuplever.connection import connection_table
-from kingcuplever import logs
+from kingcuplever import containment
 
 # Connections are accepted at once, so only a burst waits in the kernel.
 _BACKLOG: Final = 256
@@ -111,8 +111,7 @@
         return
     except Exception as error:
         # Whatever one connection brings about, the others are served.
-        text = f"A connection to {admitted_by.name} failed: {error!r:.200}."
-        logs.warn(logs.Component.PROCESS, text)
+        containment.report_error("connection", admitted_by.name, error)
     finally:
         if place is not None:
             admitted_by.remove(place)
--- a/kingcuplever/connection/peer.py
+++ b/kingcuplever/connection/peer.py
@@ -17,8 +17,8 @@
 
 from kingcuplever.connection import frame_reader
 from kingcuplever.connection import frames
+from kingcuplever import containment
 from kingcuplever import errors
-from kingcuplever import logs
 from kingcuplever import messages
 
 # Requests of the other end that may be in progress at once.
@@ -148,8 +148,7 @@
         except Exception as error:
             # Whatever one request brings about, the others are served.
             kind = type(frame.message).__name__
-            text = f"A {kind} from a peer failed: {error!r:.200}."
-            logs.warn(logs.Component.MEMBER, text)
+            containment.report_error("message", kind, error)
             code = errors.Code.PEER_FAILED
             reply = messages.PeerError(code.value, f"{kind} failed.")
         data = frames.encode(frames.Frame(frame.id, True, reply))
--- a/kingcuplever/logs.py
+++ b/kingcuplever/logs.py
@@ -64,7 +64,7 @@
         if not self._try_take_token():
             self.dropped += 1
             return
-        data = message.encode()
+        data = message.encode(errors="backslashreplace")
         if len(data) > _MAX_LINE_BYTES:
             data = data[: _MAX_LINE_BYTES - 1] + b"\n"
         if self.dropped:
--- a/kingcuplever/platform/entry_role.py
+++ b/kingcuplever/platform/entry_role.py
@@ -11,6 +11,7 @@
 from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
 from kingcuplever.connection import keyed_log
+from kingcuplever import containment
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever.platform import adviser
@@ -62,22 +63,29 @@
 
     def apply_records(self, records: Sequence[keyed_log.StoredRecord]) -> None:
         """Apply readable records, except an older configuration."""
+        contain = self._metrics.barrier.contain
         for stored in records:
-            zone = zones.parse_evacuated_zone(stored.key)
-            if zone:
-                is_evacuated = stored.value is not None
-                self._evacuations.apply(zone, is_evacuated, stored.offset)
-            if zone or stored.value is None:
-                continue
-            try:
-                if stored.key == queues.CONFIG_KEY:
-                    self._apply_config(queues.decode_config(stored.value))
-                elif hosts.is_wave_key(stored.key):
-                    order = hosts.decode_wave(stored.value)
-                    self._owner.order_maintenance(order)
-            except errors.InvalidRequest as error:
-                logs.warn(logs.Component.CONFIG, error.detail)
-        self._owner.set_evacuations(self._evacuations.view)
+            with contain("operator's record", stored.key):
+                self._apply_stored(stored)
+        with contain("evacuations", "all"):
+            self._owner.set_evacuations(self._evacuations.view)
+
+    def _apply_stored(self, stored: keyed_log.StoredRecord) -> None:
+        """Apply one record; ignore one that can't be decoded."""
+        zone = zones.parse_evacuated_zone(stored.key)
+        if zone:
+            is_evacuated = stored.value is not None
+            self._evacuations.apply(zone, is_evacuated, stored.offset)
+        if zone or stored.value is None:
+            return
+        try:
+            if stored.key == queues.CONFIG_KEY:
+                self._apply_config(queues.decode_config(stored.value))
+            elif hosts.is_wave_key(stored.key):
+                order = hosts.decode_wave(stored.value)
+                self._owner.order_maintenance(order)
+        except errors.InvalidRequest as error:
+            logs.warn(logs.Component.CONFIG, error.detail)
 
     def begin_snapshot(self, end: int) -> None:
         """Keep the configuration in force; its record is delivered again.
@@ -114,7 +122,7 @@
             http_client.HttpClient(host.hosts, roles.CALL_TIMEOUT_S)
         )
         log = store.Store(client, host.log_limits)
-        table = job_table.JobTable()
+        table = job_table.JobTable(barrier=metrics.barrier)
         follower = topic_follower.Follower(
             log,
             job_records.TOPIC,
@@ -171,15 +179,17 @@
             await nursery.start(
                 signals.reload_on_hangup, roles.reload_settings
             )
-            for task in (
-                follower.run,
-                operator_follower.run,
-                appender.run,
-                owner.run,
-            ):
-                nursery.start_soon(task)
             shares = roles.divide_limits(host)
             gate = metrics.listeners.open("peers", shares.peers)
+            for name, task in (
+                ("jobs follower", follower.run),
+                ("operator's follower", operator_follower.run),
+                ("appender", appender.run),
+                ("election", owner.run),
+            ):
+                nursery.start_soon(
+                    containment.keep_running, task, name, metrics.barrier
+                )
             nursery.start_soon(owner.listen, gate)
             await nursery.start(roles.serve_metrics, host, metrics)
             await _serve_callers(host, job_handler, api, owner, metrics)
--- a/kingcuplever/platform/side_role.py
+++ b/kingcuplever/platform/side_role.py
@@ -6,6 +6,7 @@
 
 from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
+from kingcuplever import containment
 from kingcuplever import logs
 from kingcuplever.platform import executor
 from kingcuplever.platform import registry
@@ -37,7 +38,7 @@
             metrics,
             late_call_s=roles.MAX_EXECUTOR_CALL_DELAY_S,
         )
-        sink = owner_link.OwnerSink(agent)
+        sink = owner_link.OwnerSink(agent, metrics.barrier)
         follower = topic_follower.Follower(
             store.Store(log_client, host.log_limits),
             owner_announcements.TOPIC,
@@ -52,8 +53,14 @@
             await nursery.start(
                 signals.reload_on_hangup, roles.reload_settings
             )
-            for task in (agent.run, follower.run, link.run):
-                nursery.start_soon(task)
+            for name, task in (
+                ("agent", agent.run),
+                ("announcements", follower.run),
+                ("owner link", link.run),
+            ):
+                nursery.start_soon(
+                    containment.keep_running, task, name, metrics.barrier
+                )
             # No lease is renewed before the worker has registered.
             await nursery.start(
                 http_server.serve,
--- a/kingcuplever/process/agent/order_reconciler.py
+++ b/kingcuplever/process/agent/order_reconciler.py
@@ -7,6 +7,7 @@
 time it is back, and orders again what it still wants.
 """
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import Final
 
@@ -55,6 +56,7 @@
         self._worker = worker
         self._lease_ms = lease_ms
         self._order_counter = metrics.task_orders
+        self._barrier = metrics.barrier
         self._on_change = on_change
         self._former = former
         self._orders_epoch = 0
@@ -137,9 +139,10 @@
         new_stops = stops - self._wanted_stops
         self._wanted_starts, self._wanted_stops = starts, stops
         for order in new_starts:
-            nursery.start_soon(self._start, order)
+            run = fleet.RunId(order.task, order.run)
+            nursery.start_soon(self._carry_out, run, self._start, order)
         for run in new_stops:
-            nursery.start_soon(self._stop, run)
+            nursery.start_soon(self._carry_out, run, self._stop, run)
 
     def _reconcile_paces(
         self, paces: dict[fleet.RunId, int], nursery: trio.Nursery
@@ -152,7 +155,22 @@
         }
         self._wanted_paces = paces
         for run, percent in changed.items():
-            nursery.start_soon(self._pace, run, percent)
+            nursery.start_soon(self._carry_out, run, self._pace, run, percent)
+
+    async def _carry_out(
+        self,
+        run: fleet.RunId,
+        order: Callable[..., Awaitable[None]],
+        *arguments: object,
+    ) -> None:
+        """Carry out one order; orders about other runs go on if it fails."""
+        with self._barrier.contain("order", run.task) as attempt:
+            await order(*arguments)
+        if attempt.has_failed:
+            # The owner sends its orders again.
+            self.void_starts()
+            self._wanted_stops.discard(run)
+            self._wanted_paces.pop(run, None)
 
     async def _start(self, order: fleet.StartOrder) -> None:
         """Retry a start until the run is listed or finally refused."""
--- a/kingcuplever/process/agent/owner_link.py
+++ b/kingcuplever/process/agent/owner_link.py
@@ -13,6 +13,7 @@
 from kingcuplever import clock
 from kingcuplever.connection import keyed_log
 from kingcuplever.connection import peer as peers
+from kingcuplever import containment
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
@@ -41,35 +42,44 @@
     :ivar changed: set, and replaced, whenever a newer epoch is announced.
     """
 
-    def __init__(self, agent: worker_agent.WorkerAgent | None = None) -> None:
+    def __init__(
+        self,
+        agent: worker_agent.WorkerAgent | None = None,
+        barrier: containment.ErrorBarrier | None = None,
+    ) -> None:
         """Start without an owner.
 
         :param agent: learns the evacuations that owners announce.
+        :param barrier: contains the errors of single records.
         """
         self.owner: job_records.Owner | None = None
         self.changed = trio.Event()
         self._agent = agent
+        self._barrier = barrier or containment.ErrorBarrier()
 
     def apply_records(self, records: Sequence[keyed_log.StoredRecord]) -> None:
         """Apply announcements; an older epoch changes nothing."""
         for stored in records:
-            try:
-                if stored.key == owner_announcements.EVACUATIONS_KEY:
-                    self._apply_evacuations(stored)
-                    continue
-                record = job_records.decode_record(stored)
-            except ValueError as error:
-                logs.warn(
-                    logs.Component.OWNER,
-                    f"Owner announcement ignored: {error}",
-                )
-                continue
-            if not isinstance(record, job_records.Owner):
-                continue
-            if self.owner is None or record.epoch > self.owner.epoch:
-                self.owner = record
-                self.changed.set()
-                self.changed = trio.Event()
+            with self._barrier.contain("announcement", stored.key):
+                self._apply_stored(stored)
+
+    def _apply_stored(self, stored: keyed_log.StoredRecord) -> None:
+        """Apply one announcement; ignore one that can't be decoded."""
+        try:
+            if stored.key == owner_announcements.EVACUATIONS_KEY:
+                self._apply_evacuations(stored)
+                return
+            record = job_records.decode_record(stored)
+        except ValueError as error:
+            text = f"Owner announcement ignored: {error}"
+            logs.warn(logs.Component.OWNER, text)
+            return
+        if not isinstance(record, job_records.Owner):
+            return
+        if self.owner is None or record.epoch > self.owner.epoch:
+            self.owner = record
+            self.changed.set()
+            self.changed = trio.Event()
 
     def begin_snapshot(self, end: int) -> None:
         """Keep the current owner; its record is delivered again."""
--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -66,6 +66,7 @@
         self._side = side
         self._worker = worker
         self._lease_ms = lease_ms
+        self._barrier = metrics.barrier
         metrics.alone_seconds.set_function(self._get_owner_silence_s)
         self._state = worker_state.WorkerState(autonomous_renewal_s)
         self._former = former_incarnations.FormerIncarnations(
@@ -99,7 +100,10 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             while True:
-                await self._poll_worker()
+                with self._barrier.contain("poll", self._side) as poll:
+                    await self._poll_worker()
+                if poll.has_failed:
+                    await trio.sleep(_RETRY_S)
 
     def register(self, registration: executors.Registration) -> None:
         """Apply a registration of the worker."""
--- a/kingcuplever/process/entry.py
+++ b/kingcuplever/process/entry.py
@@ -19,6 +19,7 @@
 from kingcuplever.connection import keyed_log
 from kingcuplever.connection import listener
 from kingcuplever.connection import peer as peers
+from kingcuplever import containment
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
@@ -76,11 +77,14 @@
             fleet.resources.memory_mb * 1024 * 1024,
             fleet.resources.descriptors,
         )
-        self._router = router_task.RouterTask(self._options.data_centre)
+        self._barrier = job_measures.barrier
+        self._router = router_task.RouterTask(
+            self._options.data_centre, self._barrier
+        )
         self._limits = limits.AccountRateLimits(len(fleet.entry))
         self._config = config_holder.ConfigHolder(self._apply_config)
         self._new_config = trio.Event()
-        self._table = job_table.JobTable()
+        self._table = job_table.JobTable(barrier=self._barrier)
         self._follower = topic_follower.Follower(
             log,
             job_records.TOPIC,
@@ -133,13 +137,15 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then drain."""
         nursery = self._nursery
-        for task in (
-            self._router.run,
-            self._propagate_config,
-            self._follower.run,
-            self._owner.run,
+        for name, task in (
+            ("router", self._router.run),
+            ("configuration", self._propagate_config),
+            ("jobs follower", self._follower.run),
+            ("election", self._owner.run),
         ):
-            nursery.start_soon(task)
+            nursery.start_soon(
+                containment.keep_running, task, name, self._barrier
+            )
         await self._listen_peers()
         stop = trio.Event()
         async with trio.open_nursery() as listeners:
@@ -161,7 +167,12 @@
                 stop,
                 self._listeners.open("callers", self._shares.clients),
             )
-            nursery.start_soon(self._close_silent_links)
+            nursery.start_soon(
+                containment.keep_running,
+                self._close_silent_links,
+                "silent links",
+                self._barrier,
+            )
             logs.info(logs.Component.PROCESS, f"Entry {self._name} runs.")
             await signals.wait_for_stop()
             self._callers.draining = True
--- a/kingcuplever/process/job_metrics.py
+++ b/kingcuplever/process/job_metrics.py
@@ -5,6 +5,7 @@
 import prometheus_client
 
 from kingcuplever.connection import http_server
+from kingcuplever import containment
 from kingcuplever import errors
 from kingcuplever.process import listener_metrics
 from kingcuplever.process.stored import evidence_records
@@ -17,6 +18,7 @@
     """The job metrics of one process.
 
     :ivar listeners: its listeners and their metrics.
+    :ivar barrier: contains the errors of single items, and counts them.
     """
 
     def __init__(
@@ -144,6 +146,13 @@
             ["topic"],
             registry=self.registry,
         )
+        self.contained_errors = prometheus_client.Counter(
+            "kingcuplever_contained_errors",
+            "Unexpected errors that ended the handling of one item only.",
+            ["stage"],
+            registry=self.registry,
+        )
+        self.barrier = containment.ErrorBarrier(self.record_contained)
         self.config_version = prometheus_client.Gauge(
             "kingcuplever_job_config_version",
             "Version of the queues' configuration that is in force.",
@@ -161,6 +170,11 @@
             registry=self.registry,
         )
 
+    def record_contained(self, contained: containment.ContainedError) -> None:
+        """Count and log a contained error."""
+        self.contained_errors.labels(contained.stage).inc()
+        containment.log_error(contained)
+
     def count_decision(self, row: evidence_records.Row) -> None:
         """Update the metrics for one evidence row of the owner."""
         body = row.body
--- a/kingcuplever/process/owner/evidence_writer.py
+++ b/kingcuplever/process/owner/evidence_writer.py
@@ -7,6 +7,7 @@
 
 from kingcuplever import clock
 from kingcuplever.connection import keyed_log
+from kingcuplever import containment
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever.process.stored import evidence_records
@@ -38,13 +39,16 @@
         epoch: int,
         entry: str,
         previous_head: str,
+        barrier: containment.ErrorBarrier | None = None,
     ) -> None:
         """Start the chain of an epoch; nothing is appended yet.
 
         :param entry: name of the owner's entry.
         :param previous_head: head of the previous epoch's chain, from its
             owner's last renewal; empty if there is none.
+        :param barrier: contains the errors of single rows.
         """
+        self._barrier = barrier or containment.ErrorBarrier()
         self.head = evidence_records.EMPTY_HEAD
         self._epoch = epoch
         self._most_bytes = log.limits.record_bytes - _HEADER_BYTES
@@ -68,18 +72,22 @@
         A row that exceeds a record is split; one that can't be is dropped.
         """
         for row in rows:
-            for part in evidence_records.split_row(row, self._most_bytes):
-                if evidence_records.measure_row(part) <= self._most_bytes:
-                    self._rows.append(part)
-                    continue
-                text = f"Evidence is dropped, as it is too long: {part!r:.80}"
-                logs.warn(logs.Component.LOG, text)
+            with self._barrier.contain("evidence", type(row.body).__name__):
+                self._add_row(row)
         excess = len(self._rows) - _MAX_BUFFERED_ROWS
         if excess > 0:
             del self._rows[:excess]
             text = f"{excess} evidence rows dropped; the log is unavailable."
             logs.warn(logs.Component.LOG, text)
 
+    def _add_row(self, row: evidence_records.Row) -> None:
+        for part in evidence_records.split_row(row, self._most_bytes):
+            if evidence_records.measure_row(part) <= self._most_bytes:
+                self._rows.append(part)
+                continue
+            text = f"Evidence is dropped, as it is too long: {part!r:.80}"
+            logs.warn(logs.Component.LOG, text)
+
     async def run(self) -> None:
         """Flush periodically until cancelled or fenced by a newer epoch."""
         while True:
--- a/kingcuplever/process/owner/job_owner.py
+++ b/kingcuplever/process/owner/job_owner.py
@@ -19,6 +19,7 @@
 from kingcuplever.connection import keyed_log
 from kingcuplever.connection import listener
 from kingcuplever.connection import peer as peers
+from kingcuplever import containment
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
@@ -48,6 +49,8 @@
 OWNER_READ_INTERVAL_S: Final = 0.06
 FOLLOWER_READ_INTERVAL_S: Final = 0.25
 _RETRY_S: Final = 0.1
+# Pause after a term that has ended by an error, so that others claim first.
+_FAILED_TERM_PAUSE_S: Final = 2.0
 # Timeout of the read that shows whether a claim took effect.
 _CLAIM_CHECK_TIMEOUT_S: Final = 1.0
 # Timeout of an extra read of the log while probes show a problem of the owner;
@@ -215,15 +218,31 @@
     async def run(self) -> None:
         """Take part in the election until cancelled or resigned."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._prober.run)
+            barrier = self._metrics.barrier
+            nursery.start_soon(
+                containment.keep_running, self._prober.run, "prober", barrier
+            )
             while not self._resigned:
-                detector = await self._wait_until_claimable()
-                term = await self._claim()
-                if term is not None:
-                    self._record_takeover(term.epoch, detector)
-                    await self._run_term(term)
+                with barrier.contain("term", self._name) as attempt:
+                    await self._claim_and_run_term()
+                if attempt.has_failed:
+                    await trio.sleep(_FAILED_TERM_PAUSE_S)
             nursery.cancel_scope.cancel()
 
+    async def _claim_and_run_term(self) -> None:
+        """Wait until this entry may claim; run the term if it succeeds."""
+        detector = await self._wait_until_claimable()
+        term = await self._claim()
+        if term is None:
+            return
+        self._record_takeover(term.epoch, detector)
+        try:
+            await self._run_term(term)
+        except Exception:
+            # Another entry may do better, and need not wait for the silence.
+            await term.resign()
+            raise
+
     async def resign(self) -> None:
         """Leave the election; a term ends with a record of resignation.
 
--- a/kingcuplever/process/owner/maintenance_controller.py
+++ b/kingcuplever/process/owner/maintenance_controller.py
@@ -13,6 +13,7 @@
 import trio
 
 from kingcuplever.connection import keyed_log
+from kingcuplever import containment
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever.process.scheduling import maintenance
@@ -66,16 +67,19 @@
         append: AppendRecords,
         entry: str,
         epoch: int,
+        barrier: containment.ErrorBarrier | None = None,
     ) -> None:
         """Create a controller that has requested nothing yet.
 
         :param append: appends records as the owner; it fails after the term.
+        :param barrier: contains the errors of single passes.
         """
         self._rounds = rounds
         self._hosts = hosts
         self._append = append
         self._entry = entry
         self._epoch = epoch
+        self._barrier = barrier or containment.ErrorBarrier()
         self._reported: set[int] = set()
 
     async def run(self) -> None:
@@ -84,11 +88,16 @@
             await trio.sleep(_RECONCILE_PERIOD_S)
             if self._rounds.is_idle:
                 continue
-            try:
-                await self._reconcile()
-            except errors.KingcupleverError as error:
-                text = f"Maintenance is delayed: {error.detail}"
-                logs.warn(logs.Component.MEMBER, text)
+            with self._barrier.contain("maintenance", "all rounds"):
+                await self._try_reconcile()
+
+    async def _try_reconcile(self) -> None:
+        """Run one pass, as far as the platform answers."""
+        try:
+            await self._reconcile()
+        except errors.KingcupleverError as error:
+            text = f"Maintenance is delayed: {error.detail}"
+            logs.warn(logs.Component.MEMBER, text)
 
     async def _reconcile(self) -> None:
         await self._report_started()
--- a/kingcuplever/process/owner/owner_term.py
+++ b/kingcuplever/process/owner/owner_term.py
@@ -22,6 +22,7 @@
 from kingcuplever.process.owner import maintenance_controller
 from kingcuplever.process.owner import side_links
 from kingcuplever.process.owner import worker_orders
+from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import evacuations
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import fragmentation
@@ -114,7 +115,7 @@
         self._pending: list[_PendingAppend] = []
         self._renewed_head = evidence_records.EMPTY_HEAD
         self._evidence = evidence_writer.EvidenceWriter(
-            log, owner.epoch, owner.entry, owner.evidence
+            log, owner.epoch, owner.entry, owner.evidence, metrics.barrier
         )
         self._wakeup = trio.Event()
         self._new_evacuations = trio.Event()
@@ -134,6 +135,7 @@
                     self.append_records,
                     self._owner.entry,
                     self.epoch,
+                    self._metrics.barrier,
                 )
                 nursery.start_soon(controller.run)
             await self.ended.wait()
@@ -261,7 +263,10 @@
                 return
             with self._metrics.decision_seconds.time():
                 self.scheduler.tick(trio.current_time(), clock.wall_ms())
-            self._update_metrics()
+            with self._metrics.barrier.contain("metrics", "the owner"):
+                self._update_metrics()
+            for contained in self.scheduler.take_contained_errors():
+                self._metrics.record_contained(contained)
             for line in self.scheduler.take_log_lines():
                 logs.info(line.component, line.text)
             self._send_orders(nursery)
@@ -320,19 +325,32 @@
             self._order_number += 1
             worker.orders_number = self._order_number
             worker.orders_sent_at = trio.current_time()
-            self._sending.add(worker.name)
-            orders = worker_orders.make_orders(
-                worker,
-                self.epoch,
-                self._order_number,
-                self.scheduler.evacuation_view,
-            )
-            nursery.start_soon(self._send, worker, orders)
+            with self._metrics.barrier.contain("orders", worker.name):
+                orders = worker_orders.make_orders(
+                    worker,
+                    self.epoch,
+                    self._order_number,
+                    self.scheduler.evacuation_view,
+                )
+                self._sending.add(worker.name)
+                nursery.start_soon(self._send, worker, orders)
 
     async def _send(
         self,
         worker: fleet.Worker,
         orders: messages.WorkerOrders,
+    ) -> None:
+        try:
+            with self._metrics.barrier.contain("orders", worker.name):
+                await self._send_once(worker, orders)
+        finally:
+            self._sending.discard(worker.name)
+        self.wake()
+
+    async def _send_once(
+        self,
+        worker: fleet.Worker,
+        orders: messages.WorkerOrders,
     ) -> None:
         try:
             await self._links.send(worker.side, orders)
@@ -344,9 +362,6 @@
             if error.code is errors.Code.FENCED:
                 self.ended.set()
             await trio.sleep(_RETRY_S)
-        finally:
-            self._sending.discard(worker.name)
-        self.wake()
 
     async def _query_adviser(self) -> None:
         """Ask the platform which workers may run a step, one by one."""
@@ -357,22 +372,31 @@
             if request is None:
                 await trio.sleep(_TICK_PERIOD_S)
                 continue
-            advice = None
-            try:
-                advice = await self._adviser.ask(request)
-            except errors.PlatformFailed as error:
-                text = f"No advice on {request.step}: {error.detail}"
-                logs.warn(logs.Component.PLACE, text)
+            reply = None
+            with self._metrics.barrier.contain("advice", request.step):
+                reply = await self._ask_adviser(self._adviser, request)
+            if reply is None:
                 await trio.sleep(_RETRY_S)
-            else:
-                text = (
-                    f"{len(advice.tickets)} of {len(request.workers)} workers"
-                    f" may run {request.step} for {advice.valid_s:.1f} s."
-                )
-                logs.info(logs.Component.PLACE, text)
-            self.scheduler.apply_advice(request, advice, trio.current_time())
+            self.scheduler.apply_advice(request, reply, trio.current_time())
             self.wake()
 
+    async def _ask_adviser(
+        self, adviser: advisers.Adviser, request: advice.AdviceRequest
+    ) -> advice.AdviceReply | None:
+        """Send one request to the adviser; return None if it failed."""
+        try:
+            reply = await adviser.ask(request)
+        except errors.PlatformFailed as error:
+            text = f"No advice on {request.step}: {error.detail}"
+            logs.warn(logs.Component.PLACE, text)
+            return None
+        text = (
+            f"{len(reply.tickets)} of {len(request.workers)} workers"
+            f" may run {request.step} for {reply.valid_s:.1f} s."
+        )
+        logs.info(logs.Component.PLACE, text)
+        return reply
+
     async def _run_appends(self) -> None:
         """Append records and renewals, one batch at a time."""
         while True:
--- a/kingcuplever/process/routing/router_task.py
+++ b/kingcuplever/process/routing/router_task.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from kingcuplever import containment
 from kingcuplever import messages
 from kingcuplever.process.routing import router as routers
 from kingcuplever.version import configuration
@@ -77,11 +78,17 @@
 class RouterTask:
     """Runs the router of one entry behind an inbox."""
 
-    def __init__(self, data_centre: str) -> None:
+    def __init__(
+        self,
+        data_centre: str,
+        barrier: containment.ErrorBarrier | None = None,
+    ) -> None:
         """Start without targets.
 
         :param data_centre: data centre of the entry.
+        :param barrier: contains the errors of single messages.
         """
+        self._barrier = barrier or containment.ErrorBarrier()
         self._router = routers.Router(data_centre)
         self._send, self._receive = trio.open_memory_channel[_InboxMessage](
             _INBOX_CAPACITY
@@ -93,7 +100,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._tick)
             async for message in self._receive:
-                self._handle_message(message, trio.current_time())
+                with self._barrier.contain("route", type(message).__name__):
+                    self._handle_message(message, trio.current_time())
 
     async def acquire(
         self,
@@ -174,7 +182,10 @@
         while True:
             await trio.sleep(_TICK_INTERVAL_S)
             if self._waiters:
-                self._deliver_decisions(self._router.tick(trio.current_time()))
+                with self._barrier.contain("route", "tick"):
+                    self._deliver_decisions(
+                        self._router.tick(trio.current_time())
+                    )
 
     def _handle_message(self, message: _InboxMessage, now: float) -> None:
         if isinstance(message, _Acquire):
--- a/kingcuplever/process/scheduling/binder.py
+++ b/kingcuplever/process/scheduling/binder.py
@@ -15,15 +15,17 @@
     now: float,
 ) -> None:
     """Begin a run of a group; its starts wait for the commit."""
-    state.ready_queue.discard(group)
-    group.begin_run(chosen.workers)
-    group.tickets = {
+    tickets = {
         name: state.advice.find_ticket(group.step_name, name, now)
         for name in set(chosen.workers)
     }
-    for index, name in enumerate(chosen.workers):
-        run = fleet.RunId(group.tasks[index], group.run)
-        state.workers[name].allocate(run, group.spec.resources)
+    workers = [state.workers[name] for name in chosen.workers]
+    state.ready_queue.discard(group)
+    group.begin_run(chosen.workers)
+    group.tickets = tickets
+    for task, worker in zip(group.tasks, workers, strict=True):
+        run = fleet.RunId(task, group.run)
+        worker.allocate(run, group.spec.resources)
     state.dirty_jobs[group.job.name] = None
     group.job.first_placed_ms = group.job.first_placed_ms or state.wall_ms
     state.deferred.starts.append((group, group.run))
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -37,10 +37,26 @@
         now: float,
         wall_ms: int,
     ) -> None:
-        """Load a stored job, with the runs that a previous owner started."""
+        """Load a stored job, with the runs that a previous owner started.
+
+        One that can't be loaded is left out, and its runs are stopped.
+        """
         if stored.spec is None:
             return
-        job = job_state.Job(name, stored.spec, stored.submit_offset)
+        with self._state.barrier.contain("loading", name) as loading:
+            self._load_job(name, stored.spec, stored, now, wall_ms)
+        if loading.has_failed:
+            self._forget_job(name)
+
+    def _load_job(
+        self,
+        name: str,
+        spec: model.JobSpec,
+        stored: job_table.StoredJob,
+        now: float,
+        wall_ms: int,
+    ) -> None:
+        job = job_state.Job(name, spec, stored.submit_offset)
         job.run_times = self._state.run_times
         if stored.progress is not None:
             job.restore(stored.progress, now)
@@ -61,6 +77,24 @@
                 self._enqueue_ready_groups(job, occurrence, now)
             self._open_occurrences(job, now, wall_ms)
 
+    def _forget_job(self, name: str) -> None:
+        """Drop what is known of a job that was not loaded as a whole.
+
+        Workers that run its tasks list them, and are told to stop them.
+        """
+        job = self._state.jobs.pop(name, None)
+        if job is None:
+            return
+        for group in job.groups():
+            self._state.ready_queue.discard(group)
+            self._state.isolated_groups.pop(group, None)
+            for task, worker_name in zip(
+                group.tasks, group.assigned_workers, strict=True
+            ):
+                worker = self._state.workers.get(worker_name)
+                if worker is not None:
+                    worker.release(fleet.RunId(task, group.run))
+
     def _record_acceptance(self, job: job_state.Job) -> None:
         text = (
             f"Job {job.name} of {job.spec.account} on {job.spec.queue},"
@@ -123,7 +157,8 @@
         """Open the due occurrences of all jobs."""
         for job in self._state.jobs.values():
             if not job.has_ended:
-                self._open_occurrences(job, now, wall_ms)
+                with self._state.barrier.contain("occurrences", job.name):
+                    self._open_occurrences(job, now, wall_ms)
 
     def _open_occurrences(
         self, job: job_state.Job, now: float, wall_ms: int
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -50,11 +50,13 @@
             self._state, usable, free, now
         )
         self.wait_reasons.clear()
+        contain = self._state.barrier.contain
         steps = self._state.ready_queue.sort_steps(self._queue_rank)
         for groups in steps:
-            job = ready_queue.oldest_group(groups).job
-            if self._state.accounts.has_guarantees(job.spec):
-                self._place_in_own_cells(groups, cycle)
+            first = ready_queue.oldest_group(groups)
+            if self._state.accounts.has_guarantees(first.job.spec):
+                with contain("placement in own cells", first.step_name):
+                    self._place_in_own_cells(groups, cycle)
         self._place_in_order(steps, cycle, usable)
 
     def _place_in_order(
@@ -64,13 +66,13 @@
         usable: list[fleet.Worker],
     ) -> None:
         """Place the steps, with headroom kept before what isn't urgent."""
+        contain = self._state.barrier.contain
         pools_with_headroom: set[str] = set()
         for groups in steps:
             if not groups:
                 continue
-            queue = self._state.queue_policy_of(
-                ready_queue.oldest_group(groups).job
-            )
+            first = ready_queue.oldest_group(groups)
+            queue = self._state.queue_policy_of(first.job)
             if queue.priority and self._must_defer_lower_priority(
                 steps, cycle
             ):
@@ -79,10 +81,12 @@
                 pools_with_headroom.add(queue.pool)
                 pool = [w for w in usable if w.pool == queue.pool]
                 max_share = self._state.policy.max_headroom_share
-                self._state.headroom.reserve(
-                    queue.pool, pool, cycle.free, max_share, cycle.now
-                )
-            self._place_step(groups, cycle)
+                with contain("headroom", queue.pool):
+                    self._state.headroom.reserve(
+                        queue.pool, pool, cycle.free, max_share, cycle.now
+                    )
+            with contain("placement", first.step_name):
+                self._place_step(groups, cycle)
 
     def _must_defer_lower_priority(
         self,
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from kingcuplever.connection import keyed_log
+from kingcuplever import containment
 from kingcuplever import logs
 from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import advice
@@ -204,8 +205,11 @@
         for name, job in stored:
             self._jobs.load_job(name, job, now, wall_ms)
         self._workers.restore_silences(table.silences)
-        self.maintenance.restore(table.rounds)
-        self._state.host_speeds.restore(table.host_speeds, now)
+        contain = self._state.barrier.contain
+        with contain("restore", "maintenance rounds"):
+            self.maintenance.restore(table.rounds)
+        with contain("restore", "host speeds"):
+            self._state.host_speeds.restore(table.host_speeds, now)
 
     def set_policy(self, policy: model.Policy) -> None:
         """Apply a new version of the configuration."""
@@ -236,30 +240,41 @@
                 self._jobs.load_job(name, stored, now, wall_ms)
             return
         if stored.cancelled:
-            self._jobs.end_job(
-                self._state.jobs[name], model.CANCELLED, "cancelled", wall_ms
-            )
+            with self._state.barrier.contain("cancellation", name):
+                self._jobs.end_job(
+                    self._state.jobs[name],
+                    model.CANCELLED,
+                    "cancelled",
+                    wall_ms,
+                )
 
     def tick(self, now: float, wall_ms: int) -> None:
         """Run the periodic scan if it is due, and place ready groups."""
         self._state.wall_ms = wall_ms
+        contain = self._state.barrier.contain
         if now >= self._next_scan_at:
             self._next_scan_at = now + _SCAN_PERIOD_S
             self._jobs.open_due_occurrences(now, wall_ms)
             self._workers.check_workers(now)
-            self._workers.check_crash_proofs(now, wall_ms)
-            self._rebind_cells(now)
-            self._checkpoints.mark_dirty(now)
-            self._refresh_learned(now)
-            self._jobs.purge_ended_jobs(
-                self._ended_job_retention_s * 1000,
-                not self._uncommitted,
-                wall_ms,
-            )
+            with contain("crash proofs", "all jobs"):
+                self._workers.check_crash_proofs(now, wall_ms)
+            with contain("cells", "all accounts"):
+                self._rebind_cells(now)
+            with contain("checkpoints", "all jobs"):
+                self._checkpoints.mark_dirty(now)
+            with contain("learned speeds", "all hosts"):
+                self._refresh_learned(now)
+            with contain("retention", "all jobs"):
+                self._jobs.purge_ended_jobs(
+                    self._ended_job_retention_s * 1000,
+                    not self._uncommitted,
+                    wall_ms,
+                )
             self._state.needs_placement = True
         if self._state.needs_placement:
             self._state.needs_placement = False
-            self._placer.place_all(now)
+            with contain("placement", "all jobs"):
+                self._placer.place_all(now)
 
     def take_record_batch(
         self, most_bytes: int = keyed_log.USUAL_LIMITS.record_bytes
@@ -282,14 +297,25 @@
             return None
         records: list[keyed_log.KeyedRecord] = []
         starting = {group.job.name for group, _ in deferred.starts}
+        unrecorded: set[str] = set()
         for name in sorted(self._state.dirty_jobs, key=starting.__contains__):
             job = self._state.jobs.get(name)
-            if job is not None:
+            if job is None:
+                continue
+            with self._state.barrier.contain("record", name) as recording:
                 records.append(
                     job_records.encode_progress(job.to_record(), most_bytes)
                 )
                 for group in job.groups():
                     group.mark_persisted()
+            if recording.has_failed:
+                unrecorded.add(name)
+        # Nothing of a job starts that a successor could not know of.
+        deferred.starts = [
+            start
+            for start in deferred.starts
+            if start[0].job.name not in unrecorded
+        ]
         for name in self._state.purged_jobs:
             records.extend(job_records.make_tombstones(name))
         for name, silent_ms in silences.items():
@@ -332,6 +358,12 @@
         evidence, self._evidence = self._evidence, []
         return evidence
 
+    def take_contained_errors(self) -> list[containment.ContainedError]:
+        """Return and clear the errors that were contained."""
+        taken = [*self._state.contained_errors]
+        self._state.contained_errors.clear()
+        return taken
+
     def take_log_lines(self) -> list[scheduler_state.LogLine]:
         """Return and clear the queued log lines."""
         log_lines, self._state.log_lines = self._state.log_lines, []
@@ -423,21 +455,24 @@
         for name in deferred.ended_silences:
             self._state.silences.confirm_dropped(name)
         for group, run_number in deferred.starts:
-            if group.run != run_number or group.phase != job_state.ASSIGNED:
-                continue
-            if self._state.jobs.get(group.job.name) is not group.job:
-                self._drop_start(group)
-                continue
-            if group.stop_reason:
-                continue
-            for index, name in enumerate(group.assigned_workers):
-                if name:
-                    run = fleet.RunId(group.tasks[index], group.run)
-                    self._state.order_start(
-                        self._state.workers[name], group, run
-                    )
+            with self._state.barrier.contain("start", group.tasks[0]):
+                self._release_start(group, run_number)
         for name, number in deferred.acks.items():
             worker = self._state.workers.get(name)
             if worker is not None and number > worker.acked:
                 worker.acked = number
                 worker.orders_changed = True
+
+    def _release_start(self, group: job_state.Group, run_number: int) -> None:
+        """Order the start of a run whose record is on the log."""
+        if group.run != run_number or group.phase != job_state.ASSIGNED:
+            return
+        if self._state.jobs.get(group.job.name) is not group.job:
+            self._drop_start(group)
+            return
+        if group.stop_reason:
+            return
+        for index, name in enumerate(group.assigned_workers):
+            if name:
+                run = fleet.RunId(group.tasks[index], group.run)
+                self._state.order_start(self._state.workers[name], group, run)
--- a/kingcuplever/process/scheduling/scheduler_state.py
+++ b/kingcuplever/process/scheduling/scheduler_state.py
@@ -3,6 +3,7 @@
 from typing import Final
 from typing import NamedTuple
 
+from kingcuplever import containment
 from kingcuplever import logs
 from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import advice
@@ -77,6 +78,8 @@
         placement.
     :ivar advice: workers that may run a step, for queues that need advice.
     :ivar log_lines: log lines that are not written yet.
+    :ivar contained_errors: contained errors that are not reported yet.
+    :ivar barrier: contains the errors of single jobs, groups and workers.
     :ivar unrecorded_ends: ended workers with tasks whose records are not
         committed.
     :ivar isolated_groups: assigned groups that nothing may join.
@@ -114,6 +117,8 @@
         self.needs_placement = True
         self.advice = advice.AdviceCache()
         self.log_lines: list[LogLine] = []
+        self.contained_errors: list[containment.ContainedError] = []
+        self.barrier = containment.ErrorBarrier(self.contained_errors.append)
         self.unrecorded_ends: set[str] = set()
         self.isolated_groups: dict[job_state.Group, None] = {}
         self.lost_work: dict[str, float] = {}
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -90,12 +90,16 @@
         if not model.NO_RESOURCES.fits_into(worker.free):
             self._withdraw_starts(worker)
         if not status.has_more:
-            self._update_paces(worker, worker.listed.values(), now)
+            with self._state.barrier.contain("paces", worker.name):
+                self._update_paces(worker, worker.listed.values(), now)
         # Ends come first: if a run has both, its end has the outcome.
+        contain = self._state.barrier.contain
         for ended in status.ended:
-            self._apply_ended(worker, ended, now, wall_ms)
+            with contain("end", ended.task):
+                self._apply_ended(worker, ended, now, wall_ms)
         for refused in status.refused:
-            self._apply_refused(worker, refused, now)
+            with contain("refusal", refused.task):
+                self._apply_refused(worker, refused, now)
         self._evacuator.withdraw_starts(worker)
 
     def _apply_worker_end(
@@ -173,23 +177,37 @@
         running: Iterable[fleet.RunningTask],
         now: float,
     ) -> None:
+        contain = self._state.barrier.contain
         listed: list[run_observer.ListedRun] = []
         for running_task in running:
-            run = fleet.RunId(running_task.task, running_task.run)
-            if run not in worker.allocations:
-                self._stop_orphan(worker, run)
-                continue
-            if worker.pending_starts.pop(run, None) is not None:
-                worker.orders_changed = True
-            group = self._state.find_group(run)
-            if group is None:
-                self._state.order_stop(worker, run)
-                continue
-            index = group.tasks.index(running_task.task)
-            group.update_progress(index, running_task.percent, worker.clock_ms)
-            self._update_group(group, running_task, now)
-            listed.append(run_observer.ListedRun(group, index, running_task))
-        self._observer.observe_list(worker, listed, now)
+            with contain("listed run", running_task.task):
+                known = self._apply_listed(worker, running_task, now)
+                if known is not None:
+                    listed.append(known)
+        with contain("observation", worker.name):
+            self._observer.observe_list(worker, listed, now)
+
+    def _apply_listed(
+        self,
+        worker: fleet.Worker,
+        running_task: fleet.RunningTask,
+        now: float,
+    ) -> run_observer.ListedRun | None:
+        """Apply one row of a list; return the run if it is a current one."""
+        run = fleet.RunId(running_task.task, running_task.run)
+        if run not in worker.allocations:
+            self._stop_orphan(worker, run)
+            return None
+        if worker.pending_starts.pop(run, None) is not None:
+            worker.orders_changed = True
+        group = self._state.find_group(run)
+        if group is None:
+            self._state.order_stop(worker, run)
+            return None
+        index = group.tasks.index(running_task.task)
+        group.update_progress(index, running_task.percent, worker.clock_ms)
+        self._update_group(group, running_task, now)
+        return run_observer.ListedRun(group, index, running_task)
 
     def _stop_orphan(self, worker: fleet.Worker, run: fleet.RunId) -> None:
         """Stop a run that the owner has given up; it takes room until then."""
@@ -458,21 +476,28 @@
 
     def check_workers(self, now: float) -> None:
         """Remove lost workers, stop stalled tasks, and drain workers."""
-        for name in [*self._state.workers]:
-            worker = self._state.workers[name]
-            silent_s = now - worker.last_report_at
-            lost_after_s = self._lost_after_s
-            if not worker.has_reported:
-                lost_after_s += self._log_outage_s
-            if silent_s > lost_after_s:
-                reason = f"no report for {silent_s:.1f} s"
-                self._remove_worker(name, now, reason)
-                continue
-            self._state.silences.check(worker, now)
-            self._stop_stalled(worker, now)
-        self._state.departures.observe([*self._state.workers.values()], now)
+        contain = self._state.barrier.contain
+        for worker in [*self._state.workers.values()]:
+            with contain("worker check", worker.name):
+                self._check_worker(worker, now)
+        with contain("departures", "all workers"):
+            workers = [*self._state.workers.values()]
+            self._state.departures.observe(workers, now)
         self._drain_workers(now)
 
+    def _check_worker(self, worker: fleet.Worker, now: float) -> None:
+        """Remove a lost worker, or stop what has stalled on it."""
+        silent_s = now - worker.last_report_at
+        lost_after_s = self._lost_after_s
+        if not worker.has_reported:
+            lost_after_s += self._log_outage_s
+        if silent_s > lost_after_s:
+            reason = f"no report for {silent_s:.1f} s"
+            self._remove_worker(worker.name, now, reason)
+            return
+        self._state.silences.check(worker, now)
+        self._stop_stalled(worker, now)
+
     def _stop_stalled(self, worker: fleet.Worker, now: float) -> None:
         """Stop groups with a stalled task, so that they are placed again."""
         if (
@@ -522,7 +547,8 @@
                 if worker.drain_ends_at < first.drain_ends_at:
                     leaving[group] = worker
         for group, worker in leaving.items():
-            self._drain_group(group, worker, now)
+            with self._state.barrier.contain("drain", group.tasks[0]):
+                self._drain_group(group, worker, now)
 
     def _drain_group(
         self, group: job_state.Group, worker: fleet.Worker, now: float
--- a/kingcuplever/process/side.py
+++ b/kingcuplever/process/side.py
@@ -6,7 +6,10 @@
 time.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
+import functools
 import itertools
 from typing import Final
 
@@ -17,6 +20,7 @@
 from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
 from kingcuplever.connection import peer as peers
+from kingcuplever import containment
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
@@ -64,6 +68,7 @@
         self._sequences = itertools.count(1)
         self._target_clients: dict[str, http_client.HttpClient] = {}
         self._heartbeat_wanted = trio.Event()
+        self._barrier = containment.ErrorBarrier()
         self._config_version = 0
         self._config_text: str | None = None
         self._factories = factories
@@ -90,10 +95,11 @@
             admission.Admission("announcements", shares.own),
         )
         for entry, entry_options in self._fleet.entry.items():
-            self._nursery.start_soon(
+            link = functools.partial(
                 self._maintain_link, entry, entry_options.peers
             )
-        self._nursery.start_soon(self._run_ticks)
+            self._start_task(f"link to {entry}", link)
+        self._start_task("ticks", self._run_ticks)
         text = f"Side {self._name} runs, incarnation {self._incarnation}."
         logs.info(logs.Component.PROCESS, text)
         await signals.wait_for_stop()
@@ -113,6 +119,7 @@
             )
         )
         metrics = job_metrics.JobMetrics()
+        self._barrier = metrics.barrier
         agent = worker_agent.WorkerAgent(
             self._name,
             self._factories.make_executor(worker),
@@ -121,7 +128,7 @@
             timing.alone_ms / 1000,
             timing.late_call_ms / 1000,
         )
-        sink = owner_link.OwnerSink(agent)
+        sink = owner_link.OwnerSink(agent, self._barrier)
         follower = topic_follower.Follower(
             self._factories.make_log(log),
             owner_announcements.TOPIC,
@@ -134,8 +141,17 @@
         self._registration_handler = self._factories.make_registration_handler(
             agent
         )
-        for task in (agent.run, follower.run, link.run):
-            self._nursery.start_soon(task)
+        self._start_task("agent", agent.run)
+        self._start_task("announcements", follower.run)
+        self._start_task("owner link", link.run)
+
+    def _start_task(
+        self, name: str, run: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Start a task that lives as long as the process."""
+        self._nursery.start_soon(
+            containment.keep_running, run, name, self._barrier
+        )
 
     def _resolve_owner_address(self, owner: job_records.Owner) -> str:
         """Return the owner's address, preferring the one in the settings."""
--- a/kingcuplever/process/stored/job_table.py
+++ b/kingcuplever/process/stored/job_table.py
@@ -7,6 +7,7 @@
 import trio
 
 from kingcuplever.connection import keyed_log
+from kingcuplever import containment
 from kingcuplever import intents
 from kingcuplever import logs
 from kingcuplever import plain
@@ -75,11 +76,16 @@
     :ivar listener: gets the callbacks, if there is one.
     """
 
-    def __init__(self, read_clock: Callable[[], float] | None = None) -> None:
+    def __init__(
+        self,
+        read_clock: Callable[[], float] | None = None,
+        barrier: containment.ErrorBarrier | None = None,
+    ) -> None:
         """Create an empty table.
 
         :param read_clock: returns the monotonic time in seconds; by default
             that of the event loop.
+        :param barrier: contains the errors of single records.
         """
         self._read_clock = read_clock or _read_loop_clock
         self.owner_recorded_at = float("-inf")
@@ -92,6 +98,7 @@
         self.rounds: dict[int, maintenance_rounds.RoundProgress] = {}
         self.host_speeds: dict[str, host_speed.Estimate] = {}
         self.listener: Listener | None = None
+        self._barrier = barrier or containment.ErrorBarrier()
         self._offsets: dict[str, int] = {}
 
     def apply_records(self, records: Sequence[keyed_log.StoredRecord]) -> None:
@@ -106,16 +113,12 @@
                 self.owner_record_count += 1
                 self.owner_recorded_at = self._read_clock()
             had_intents |= intent_records.is_intent_key(stored.key)
-            try:
-                record = job_records.decode_record(stored)
-            except plain.ValidationError as error:
-                text = f"Record at offset {stored.offset} is skipped: {error}"
-                logs.warn(logs.Component.LOG, text)
-                continue
-            self._apply(record, stored.offset)
+            with self._barrier.contain("record of the log", stored.key):
+                self._apply_stored(stored)
         if had_intents and self.listener is not None:
             # Records of a snapshot tell the operators' state only together.
-            self.listener.on_intents_changed()
+            with self._barrier.contain("intents", "all"):
+                self.listener.on_intents_changed()
 
     def begin_snapshot(self, end: int) -> None:
         """Keep all jobs while a snapshot follows.
@@ -138,6 +141,16 @@
             and job.state == model.PENDING
         )
 
+    def _apply_stored(self, stored: keyed_log.StoredRecord) -> None:
+        """Apply one record; skip one that can't be decoded."""
+        try:
+            record = job_records.decode_record(stored)
+        except plain.ValidationError as error:
+            text = f"Record at offset {stored.offset} is skipped: {error}"
+            logs.warn(logs.Component.LOG, text)
+            return
+        self._apply(record, stored.offset)
+
     def _apply(self, record: job_records.Record, offset: int) -> None:
         if isinstance(record, job_records.Owner):
             self._apply_owner(record)
--- a/kingcuplever/request/dispatching.py
+++ b/kingcuplever/request/dispatching.py
@@ -11,6 +11,7 @@
 import trio
 
 from kingcuplever.connection import http_client
+from kingcuplever import containment
 from kingcuplever import errors
 from kingcuplever import logs
 from kingcuplever import messages
@@ -53,6 +54,7 @@
         self._claims = idempotency_keys.ClaimTable(horizon_s)
         self._running: dict[str, _RunningRequest] = {}
         self._in_progress = 0
+        self._barrier = containment.ErrorBarrier()
         self._slot_waiters = trio.lowlevel.ParkingLot()
         self.targets = targets.TargetTable()
 
@@ -131,7 +133,8 @@
     ) -> None:
         reply = _make_reply(message, messages.UNKNOWN, "the side failed")
         try:
-            reply = await self._call_target(message)
+            with self._barrier.contain("request", message.request):
+                reply = await self._call_target(message)
         finally:
             self._in_progress -= 1
             if message.key:
--- a/soak/run.py
+++ b/soak/run.py
@@ -73,9 +73,12 @@
         observation = judge.collect_observation(
             callers.jobs, workers, time.time()
         )
-        broken = judge.find_broken_promises(
-            observation
-        ) + _check_configuration(site)
+        broken = [
+            *judge.find_broken_promises(observation),
+            *_check_configuration(site),
+            *(f"FAULT {line}" for line in site.list_errors()),
+        ]
+        site.allows_errors = True
     (path / "broken.txt").write_text("".join(f"{b}\n" for b in broken))
     return Result(
         seed,
--- a/standins/wire_site.py
+++ b/standins/wire_site.py
@@ -41,6 +41,8 @@
 MEMORY_MB: Final = 200
 DESCRIPTORS: Final = 4100
 _STOP_TIMEOUT_S: Final = 10.0
+# What a process writes about an error that it had not foreseen.
+_ERROR_MARKS: Final = ("Contained, ", "Traceback (most recent call last)")
 _LEASE_MS: Final = 4000
 
 
@@ -129,6 +131,14 @@
         """Return its output so far."""
         return pathlib.Path(self._log_path).read_text(encoding="utf-8")
 
+    def list_errors(self) -> list[str]:
+        """Return the lines about errors that it had not foreseen."""
+        return [
+            f"{self.name}: {line}"
+            for line in self.read_log().splitlines()
+            if any(mark in line for mark in _ERROR_MARKS)
+        ]
+
     def _start(self) -> subprocess.Popen[bytes]:
         environment = dict(os.environ, KINGCUPLEVER_SETTINGS=self._settings)
         command = [sys.executable, "-m", "kingcuplever.platform", self._role]
@@ -158,6 +168,8 @@
         :param states_birth: whether the workers name the time of their start.
         """
         self.states_birth = states_birth
+        # Whether errors in the logs are for the caller to judge.
+        self.allows_errors = False
         self._gangs = gang_runs.GangRuns()
         self._proxied = proxied
         self._lease_ms = lease_ms
@@ -216,6 +228,19 @@
     ) -> None:
         """Stop the processes, then the stand-ins."""
         self._stack.close()
+        if kind is None and not self.allows_errors:
+            assert not self.list_errors(), self.list_errors()
+
+    def list_errors(self) -> list[str]:
+        """Return what the processes say of errors they had not foreseen.
+
+        Whatever a test does to a process, it has no reason to write any.
+        """
+        return [
+            line
+            for process in (*self.entries.values(), *self.sides.values())
+            for line in process.list_errors()
+        ]
 
     def set_store_faults(self, name: str, **changes: Any) -> None:
         """Set the faults of the proxy between a process and the store."""
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from kingcuplever.connection import keyed_log
+from kingcuplever import containment
 from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
@@ -217,6 +218,9 @@
     :ivar table: the jobs as read from the log.
     :ivar offset: end of the log.
     :ivar guaranteed: guaranteed accelerators of each account.
+    :ivar contained: errors that the schedulers have contained; there are none
+        unless a test brings them about and allows them.
+    :ivar allows_errors: whether there may be such errors.
     """
 
     def __init__(
@@ -233,6 +237,8 @@
         self.offset = 0
         self.events: list[Event] = []
         self.guaranteed = guaranteed or {}
+        self.contained: list[containment.ContainedError] = []
+        self.allows_errors = False
         self.workers = [
             FakeWorker(
                 f"i-{number}",
@@ -252,8 +258,14 @@
 
     def fail_over(self) -> None:
         """Replace the owner's scheduler by one restored from the log."""
+        self.check_contained()
         self.scheduler = self._make_scheduler()
 
+    def check_contained(self) -> None:
+        """Check that the scheduler has met no unexpected error."""
+        self.contained += self.scheduler.take_contained_errors()
+        assert self.allows_errors or not self.contained, self.contained
+
     def submit(self, name: str, job: model.JobSpec) -> None:
         """Submit a job."""
         self.append([job_records.encode_submission(name, job)])
@@ -315,6 +327,7 @@
             self.exchange_reports()
             self.now += 0.05
         self.commit()
+        self.check_contained()
 
     def answer_advice_requests(self, allowed: set[str], valid_s: float) -> int:
         """Answer the pending advice requests, and return their number."""
