JSON: a string that isn't closed is read once

Cause: two patterns tell strings from the marks between values. Both match a string only with its closing quote. Where there is none, a try reads to the end of the text and fails, and the next one begins at the next quote, which may be one of the escaped ones: the time grows with the square of the length. Both run in the event loop.

Change: one pattern for both, in which a string may also end with the text. So a match at a quote never fails, and possessive repeats keep it from being tried in another way: what was read is not read again.

--- a/kingcuplever/connection/http_server.py
+++ b/kingcuplever/connection/http_server.py
@@ -22,6 +22,7 @@
 from kingcuplever.connection import listener
 from kingcuplever import containment
 from kingcuplever import errors
+from kingcuplever import lenient_json
 
 # Longest body where a listener sets no other bound: a heartbeat of a worker.
 MAX_BODY_BYTES: Final = 4 * 1024 * 1024
@@ -35,7 +36,9 @@
 _TEXT_BYTES_PER_BYTE: Final = 4
 # Each value follows one of these characters, or is the only one.
 _VALUE_MARKS: Final = (b",", b":", b"[", b"{")
-_JSON_STRING: Final = re.compile(rb'"(?:[^"\\]|\\.)*"', re.DOTALL)
+_JSON_STRING: Final = re.compile(
+    lenient_json.STRING_PATTERN.encode(), re.DOTALL
+)
 # So few values need no exact count.
 _FEW_VALUES: Final = 1024
 # Whole seconds after which a refused request may be sent again.
--- a/kingcuplever/lenient_json.py
+++ b/kingcuplever/lenient_json.py
@@ -15,7 +15,10 @@
 # Longest text of an integer of 64 bits, with its sign.
 _MAX_INTEGER_CHARS: Final = 20
 _INTEGER_LIMIT: Final = 2**63
-_TOKENS: Final = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL)
+# A string, also one that is not closed: it extends to the end.  So a match at
+# a quote never fails, and no part of a text is read again from a later quote.
+STRING_PATTERN: Final = r'"[^"\\]*+(?:\\.[^"\\]*+)*+"?'
+_TOKENS: Final = re.compile(rf"{STRING_PATTERN}|[\[\]{{}}]", re.DOTALL)
 # Not valid in JSON, and passed to the hook for constants.
 _UNUSABLE_TEXT: Final = "NaN"
 
