Stored jobs: a record is checked like a caller's job

Cause: what can be scheduled was checked where a caller hands a job in, and nowhere else, while the records on the log may have other writers. On one record ended the owner (a step after step 7 of two: IndexError), or kept it busy until a test gave up after 15 s (10^15 tasks; 10^15 times of no steps), and its successors, which read the same log. A progress of 40 bytes named 10^15 occurrences as done, which every entry counted out (MemoryError under a limit of 6 GB), and one of many rows opened an occurrence for each.

The ranges of a large progress are bounded by a job's occurrences, the runs of any by what a message carries, and a restored job opens no more than it may have open. A group that a record names twice is counted once.

--- a/kingcuplever/platform/queues.py
+++ b/kingcuplever/platform/queues.py
@@ -13,10 +13,6 @@
 CONFIG_KEY: Final = "config"
 
 _DEFAULT_MAX_BODY_BYTES: Final = 262_144
-# Occurrences of one job; its record on the log lists all that are done.
-_MAX_OCCURRENCES: Final = 10_000
-# Largest number in a job: as a time in milliseconds, beyond the year 30000.
-_MAX_NUMBER: Final = 10**15
 
 
 def decode_config(data: bytes) -> job_queues.JobQueues:
@@ -106,28 +102,23 @@
     if not isinstance(rows, list) or not rows:
         raise errors.InvalidRequest("Steps is missing or empty; send a list.")
     steps = tuple(_decode_step(row, number) for number, row in enumerate(rows))
-    if sum(step.tasks for step in steps) > model.MAX_TASKS:
-        raise errors.InvalidRequest(
-            f"The job has over {model.MAX_TASKS} tasks; send fewer."
-        )
-    times = _get_value(document, "Times", 0)
-    if times > _MAX_OCCURRENCES:
-        raise errors.InvalidRequest(
-            f"Times is {times}; send {_MAX_OCCURRENCES} at most."
-        )
-    return model.JobSpec(
+    spec = model.JobSpec(
         queue=queue.name,
         pool=queue.pool,
         account=account,
         payload=_get_value(document, "Spec", ""),
         steps=steps,
         accepted_ms=accepted_ms,
-        times=times,
+        times=_get_value(document, "Times", 0),
         first_ms=_get_value(document, "FirstMs", 0),
         period_ms=_get_value(document, "PeriodMs", 0),
         priority=queue.priority,
         most_attempts=queue.most_attempts,
     )
+    fault = model.explain_invalid(spec)
+    if fault:
+        raise errors.InvalidRequest(f"The job is invalid: {fault}.")
+    return spec
 
 
 def _decode_step(row: Any, number: int) -> model.StepSpec:
@@ -151,7 +142,7 @@
         memory_mb=_get_value(row, "MemMb", 0),
         gpus=_get_value(row, "Gpu", 0),
         estimate_ms=_get_value(row, "EstRuntimeMs", 0),
-        after=tuple(after),
+        after=tuple(dict.fromkeys(after)),
         checkpointing=_get_value(row, "Checkpointing", False),
         gang=_get_value(row, "Gang", False),
         same_rack=_get_value(row, "SameRack", False),
@@ -191,8 +182,8 @@
         raise errors.InvalidRequest(
             f"{name} is {value!r:.40}; send a {type(default).__name__}."
         )
-    if type(value) is int and not 0 <= value <= _MAX_NUMBER:
+    if type(value) is int and not 0 <= value <= model.MAX_NUMBER:
         raise errors.InvalidRequest(
-            f"{name} is {value!r:.40}; send 0 to {_MAX_NUMBER}."
+            f"{name} is {value!r:.40}; send 0 to {model.MAX_NUMBER}."
         )
     return value
--- a/kingcuplever/process/owner/planner.py
+++ b/kingcuplever/process/owner/planner.py
@@ -23,6 +23,8 @@
 
 _MB_PER_GB: Final = 1024
 _MILLI: Final = 1000
+# Largest amount and time in an intent; thousandths of it fit into a job.
+_MAX_NUMBER: Final = 1e11
 # Queue name of jobs submitted by operators; it is shown in lists of jobs.
 OPERATOR_QUEUE: Final = "operators"
 
@@ -261,6 +263,9 @@
         return "job.shape needs nothing; give accelerators, cores or memory."
     if not 0 < spec.declared_s < float("inf"):
         return "job.declared_s must be more than 0."
+    largest = max(shape.gpus, shape.cores, shape.memory_gb, spec.declared_s)
+    if largest > _MAX_NUMBER:
+        return f"job has {largest:g}; allowed: up to {_MAX_NUMBER:g}."
     account = inputs.intents.accounts.get((spec.account, spec.data_centre))
     if account is None:
         return (
--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -481,21 +481,36 @@
     def restore(self, record: job_records.Progress, now: float) -> None:
         """Restore the state from a record."""
         self.state = record.state
-        self.finished_occurrences = set(record.finished)
+        self.finished_occurrences = {
+            number
+            for number in record.finished
+            if 0 <= number < self.spec.occurrences
+        }
         self.ended_ms = record.ended_ms
         self.first_placed_ms = record.begun_ms
         self.evictions = record.evictions
         for row in record.groups:
-            if row.occurrence not in self.open_occurrences:
-                self.open_occurrences[row.occurrence] = Occurrence(
-                    self, row.occurrence
-                )
-            occurrence = self.open_occurrences[row.occurrence]
+            occurrence = self._open_recorded(row.occurrence)
+            if occurrence is None:
+                continue
             task = model.TaskId(self.name, row.occurrence, row.step, row.first)
             group = occurrence.find_group(task)
-            if group is not None:
-                group.restore(row, now)
-                if group.phase == DONE:
-                    occurrence.unfinished[row.step] -= 1
+            if group is None:
+                continue
+            was_done = group.phase == DONE
+            group.restore(row, now)
+            if group.phase == DONE and not was_done:
+                occurrence.unfinished[row.step] -= 1
         opened = [*self.open_occurrences, *self.finished_occurrences]
         self.next_occurrence = max(opened, default=-1) + 1
+
+    def _open_recorded(self, number: int) -> Occurrence | None:
+        """Return an occurrence that a record names, if it can be open."""
+        occurrence = self.open_occurrences.get(number)
+        if occurrence is not None:
+            return occurrence
+        if not 0 <= number < self.spec.occurrences or self.is_at_task_limit:
+            return None
+        occurrence = Occurrence(self, number)
+        self.open_occurrences[number] = occurrence
+        return occurrence
--- a/kingcuplever/process/scheduling/model.py
+++ b/kingcuplever/process/scheduling/model.py
@@ -16,6 +16,10 @@
 # Tasks of a job that may be open at a time, in all its occurrences.  Its
 # progress, some 100 bytes a task, is one record on the log.
 MAX_TASKS: Final = 2000
+# Occurrences of one job; its record on the log lists all that are done.
+MAX_OCCURRENCES: Final = 10_000
+# Largest number in a job: as a time in milliseconds, beyond the year 30000.
+MAX_NUMBER: Final = 10**15
 
 
 class Resources(NamedTuple):
@@ -165,6 +169,32 @@
         return self.first_ms + occurrence * self.period_ms
 
 
+def explain_invalid(spec: JobSpec) -> str:
+    """Return why a job can't be scheduled; empty if it can.
+
+    All that schedules a job relies on this, so no job gets there without it,
+    neither from a caller nor from the log.
+    """
+    if not spec.steps:
+        return "it has no steps"
+    for number, step in enumerate(spec.steps):
+        if step.tasks < 1:
+            return f"step {number} has no tasks"
+        if not all(0 <= earlier < number for earlier in step.after):
+            return f"step {number} comes after what is no earlier step"
+    tasks = sum(step.tasks for step in spec.steps)
+    if tasks > MAX_TASKS:
+        return f"it has {tasks} tasks; the limit is {MAX_TASKS}"
+    if spec.times > MAX_OCCURRENCES:
+        return f"it has {spec.times} times; the limit is {MAX_OCCURRENCES}"
+    numbers = [spec.accepted_ms, spec.times, spec.first_ms, spec.period_ms]
+    for step in spec.steps:
+        numbers += [value for value in step if type(value) is int]
+    if not all(0 <= number <= MAX_NUMBER for number in numbers):
+        return f"it has a number that is not from 0 to {MAX_NUMBER}"
+    return ""
+
+
 class QueuePolicy(NamedTuple):
     """Scheduling policy for the jobs of one queue.
 
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -31,6 +31,8 @@
 _SUBMISSION_PREFIX: Final = "s:"
 _CANCELLATION_PREFIX: Final = "c:"
 _PROGRESS_PREFIX: Final = "j:"
+# Messages between processes carry no higher one.
+_MAX_RUN: Final = 2**31 - 1
 
 
 class Submitted(NamedTuple):
@@ -228,8 +230,7 @@
 
 def _decode_document(key: str, document: Any) -> Record:
     if key.startswith(_SUBMISSION_PREFIX):
-        spec = plain.from_plain(model.JobSpec, document, key)
-        return Submitted(key[2:], spec)
+        return Submitted(key[2:], _decode_spec(document, key))
     if key.startswith(_CANCELLATION_PREFIX):
         return Cancelled(key[2:])
     if key.startswith(_PROGRESS_PREFIX):
@@ -257,6 +258,18 @@
     raise plain.ValidationError([fault])
 
 
+def _decode_spec(document: Any, key: str) -> model.JobSpec:
+    """Decode a job.
+
+    :raises plain.ValidationError: if it can't be scheduled.
+    """
+    spec = plain.from_plain(model.JobSpec, document, key)
+    fault = model.explain_invalid(spec)
+    if fault:
+        raise plain.ValidationError([plain.Fault(key, fault, "a valid job")])
+    return spec
+
+
 def _encode_group(group: GroupProgress) -> list[Any]:
     """Encode the progress of a group; mostly it has no crashes."""
     if group.crashes == model.NO_CRASHES:
@@ -270,6 +283,8 @@
     occurrence, step, first, run, phase, failures, saved = _check_types(
         row[:7], (int, int, int, int, str, int, str)
     )
+    if not 0 <= run <= _MAX_RUN:
+        raise ValueError(f"{run} is no number of a run")
     workers = _check_types(row[7], (str,) * len(row[7]))
     crashes = model.NO_CRASHES
     if len(row) > 8:
--- a/kingcuplever/process/stored/large_progress.py
+++ b/kingcuplever/process/stored/large_progress.py
@@ -8,6 +8,8 @@
 from typing import Any
 from typing import Final
 
+from kingcuplever.process.scheduling import model
+
 # Places in the usual form of a job's progress, and in that of a group.
 _FINISHED: Final = 1
 _GROUPS: Final = 2
@@ -61,15 +63,24 @@
     """
     names = document["workers"]
     state, *numbers = document["rest"]
-    finished = [
-        number
-        for first, last in document["finished"]
-        for number in range(first, last + 1)
-    ]
+    finished = _decode_ranges(document["finished"])
     groups = [_decode_group(group, names) for group in document["groups"]]
     return [state, finished, groups, *numbers]
 
 
+def _decode_ranges(ranges: list[list[int]]) -> list[int]:
+    """Return the numbers in ranges.
+
+    :raises ValueError: if they are more than a job has occurrences.
+    """
+    numbers: list[int] = []
+    for first, last in ranges:
+        if last - first >= model.MAX_OCCURRENCES - len(numbers):
+            raise ValueError(f"{first} to {last} are too many occurrences")
+        numbers += range(first, last + 1)
+    return numbers
+
+
 def _encode_group(
     group: list[Any], names: dict[str, int], keeps_saved: bool
 ) -> list[Any]:
