HTTP client: what can't be a header is an error of its call

Cause: headers and paths went to the library as text, which raises TypeError for anything beyond ASCII. No caller of the client expects that, and the task that called it was one of the process.

Change: headers are sent as the bytes that came in, and an answer's likewise (they came back as UTF-8 of what they were); what can't be sent is InvalidRequest. A registration under an id that fits no header is refused. The path of an operator's request is quoted when it is relayed.

--- a/kingcuplever/connection/http_client.py
+++ b/kingcuplever/connection/http_client.py
@@ -88,7 +88,10 @@
             that of the whole call.
         :raises errors.PlatformFailed: no complete response arrived; ``sent``
             says whether the request may have reached the server.
+        :raises errors.InvalidRequest: the path or a header can't be sent.
         """
+        if not path.isascii():
+            raise errors.InvalidRequest(f"{path!r:.40} can't be requested.")
         limit_s = self._timeout_s if timeout_s is None else timeout_s
         if extends:
             limit_s += len(body) / _MIN_SENT_BYTES_PER_S
@@ -142,11 +145,10 @@
         headers: tuple[tuple[str, str], ...],
         transfer: "_Transfer",
     ) -> ClientResponse:
-        all_headers = [
-            ("Host", self._base.removeprefix("http://")),
-            ("Content-Length", str(len(body))),
-            *headers,
-        ]
+        host = self._base.removeprefix("http://")
+        all_headers = _encode_headers(
+            (("Host", host), ("Content-Length", str(len(body))), *headers)
+        )
         try:
             async with self._pool.stream(
                 method,
@@ -173,6 +175,24 @@
         return ClientResponse(response.status, received, content)
 
 
+def _encode_headers(
+    headers: tuple[tuple[str, str], ...],
+) -> list[tuple[bytes, bytes]]:
+    """Encode headers; bytes that were received are sent as they came.
+
+    :raises errors.InvalidRequest: if one can't be a header.
+    """
+    try:
+        return [
+            (name.encode("ascii"), value.encode("latin-1"))
+            for name, value in headers
+        ]
+    except UnicodeEncodeError as error:
+        raise errors.InvalidRequest(
+            f"A header can't be sent ({error.object!r:.40})."
+        ) from error
+
+
 class _Transfer:
     """Receives the response of one call and extends its timeout.
 
--- a/kingcuplever/connection/http_connection.py
+++ b/kingcuplever/connection/http_connection.py
@@ -319,7 +319,11 @@
         :raises trio.ClosedResourceError: it did not.
         """
         self._enter(connection_table.Phase.ANSWERING)
-        headers = [(n.encode(), v.encode()) for n, v in response.headers]
+        # The bytes of a header are passed on as they came.
+        headers = [
+            (n.encode("latin-1"), v.encode("latin-1"))
+            for n, v in response.headers
+        ]
         # A handler may set the length itself.
         if not any(name == b"content-length" for name, _ in headers):
             length = str(len(response.body)).encode()
--- a/kingcuplever/platform/executor.py
+++ b/kingcuplever/platform/executor.py
@@ -160,7 +160,7 @@
         the state is unknown.
     """
     try:
-        _check_text(worker_id)
+        _check_id(worker_id)
         state = _check_text(document["State"])
         if state not in _DRAINING_BY_STATE:
             raise ValueError(f"State is {state!r:.40}")
@@ -226,6 +226,14 @@
     return value
 
 
+def _check_id(worker_id: str) -> None:
+    """Check that an id can be sent as the value of a header."""
+    _check_text(worker_id)
+    is_plain = worker_id.isascii() and worker_id.isprintable()
+    if not is_plain or worker_id != worker_id.strip():
+        raise ValueError(f"the id {worker_id!r:.40} fits no header")
+
+
 def _check_text(value: Any) -> str:
     """Return a value if it is a string that can be sent as UTF-8."""
     if type(value) is not str:
--- a/kingcuplever/request/relay.py
+++ b/kingcuplever/request/relay.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from typing import Final
+from urllib import parse
 
 from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
@@ -49,8 +50,9 @@
             ("authorization", request.headers.get("authorization", "")),
             (_RELAYED_HEADER, "1"),
         )
-        query = "&".join(f"{key}={val}" for key, val in request.query.items())
-        path = f"{request.path}?{query}" if query else request.path
+        path = parse.quote(request.path)
+        if request.query:
+            path += f"?{parse.urlencode(request.query)}"
         try:
             response = await self._get_client(entry).call(
                 request.method, path, request.body, headers
--- /dev/null
+++ b/tests/test_outside_text.py
@@ -0,0 +1,106 @@
+"""Text from outside that can't be sent on is refused where it comes in."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import Any
+
+from kingcuplever.connection import http_client
+from kingcuplever.connection import http_server
+from kingcuplever import errors
+from kingcuplever.platform import executor
+from kingcuplever.request import relay
+import pytest
+import trio
+
+from tests import test_platform_input as inputs
+
+# Bytes beyond ASCII in a header, as received.
+FOREIGN = "caf\u00e9 \u00ff"
+
+
+Send = Callable[[str], Awaitable[Any]]
+
+
+def exchange(send: Send) -> tuple[http_server.HttpRequest, Any]:
+    """Send a request to a server that echoes a header.
+
+    :param send: sends it to an address and returns the response.
+    :return: the request as the server got it, and the response.
+    """
+    requests: list[http_server.HttpRequest] = []
+    failures: list[errors.KingcupleverError] = []
+
+    async def handle(
+        request: http_server.HttpRequest,
+    ) -> http_server.HttpResponse:
+        requests.append(request)
+        value = request.headers.get("x-note", "")
+        return http_server.HttpResponse(200, (("x-note", value),), b"")
+
+    async def main() -> Any:
+        async with trio.open_nursery() as nursery:
+            (url,) = await nursery.start(
+                http_server.serve, "127.0.0.1:0", handle, trio.Event()
+            )
+            response = None
+            try:
+                response = await send(url.removeprefix("http://"))
+            except errors.KingcupleverError as error:
+                failures.append(error)
+            nursery.cancel_scope.cancel()
+            return response
+
+    response = trio.run(main)
+    if failures:
+        raise failures[0]
+    return requests[0], response
+
+
+def make_get(path: str, note: str = "") -> Send:
+    """Make a GET with a header."""
+
+    async def send(address: str) -> http_client.ClientResponse:
+        async with http_client.HttpClient(address, 5.0) as client:
+            return await client.call("GET", path, b"", (("x-note", note),))
+
+    return send
+
+
+# Guards against a side that ends when a caller's header, which it passes on to
+# the target, has a byte beyond ASCII; and against one that is mangled.
+def test_bytes_of_a_header_are_passed_on_as_they_came() -> None:
+    request, response = exchange(make_get("/", FOREIGN))
+    assert request.headers["x-note"] == FOREIGN
+    assert dict(response.headers)["x-note"] == FOREIGN
+
+
+@pytest.mark.parametrize("note", ["\u20ac", "\ud800"])
+def test_header_that_is_no_bytes_is_an_error_of_its_request(note: str) -> None:
+    with pytest.raises(errors.InvalidRequest):
+        exchange(make_get("/", note))
+    with pytest.raises(errors.InvalidRequest):
+        exchange(make_get(f"/{note}"))
+
+
+def test_path_is_relayed_as_it_came() -> None:
+    request = http_server.HttpRequest(
+        "GET", "/v1/jobs/d\u00e9j\u00e0 vu?", {"a": "b&c=d"}, {}, b""
+    )
+
+    async def send(address: str) -> http_server.HttpResponse:
+        async with contextlib.AsyncExitStack() as stack:
+            entries = relay.Relay({"entry-1": address}, stack)
+            return await entries.forward("entry-1", request)
+
+    relayed, _ = exchange(send)
+    assert relayed.path == request.path
+    assert relayed.query == request.query
+
+
+# Guards against a side that ends, and again after each restart, when another
+# writer registers under an id that no header can carry.
+@pytest.mark.parametrize("worker_id", ["i-\u20ac", "i-\u00e9", "i\n1", " i-1"])
+def test_id_that_fits_no_header_is_refused(worker_id: str) -> None:
+    with pytest.raises(errors.InvalidRequest):
+        executor.decode_registration(worker_id, inputs.REGISTRATION, 0.0)
