JSON: text that is not valid Unicode is no text

Cause: half of a surrogate pair, escaped in JSON, parses as a string that no message can carry. Whoever read it found that out when sending: orders for a worker, reports or heartbeats failed as a whole, whatever else they said, again and again, because of one record, ticket or announcement.

Change: such a text is unusable like a number that is too large, so a record with it is refused; a body with one is refused. Lists of tasks and answers of the adviser are read by the same parser as all else.

--- a/kingcuplever/lenient_json.py
+++ b/kingcuplever/lenient_json.py
@@ -1,8 +1,9 @@
 """Parses JSON in which single values may be unusable.
 
-Another writer may leave values that are nested too deeply, or numbers that are
-too large, among valid ones.  Each becomes :data:`UNUSABLE`, which fits no
-type, so that decoders refuse the part that it stands in and keep the others.
+Another writer may leave values that are nested too deeply, numbers that are
+too large or texts that are not valid Unicode, among valid ones.  Each becomes
+:data:`UNUSABLE`, which fits no type, so that decoders refuse the part that it
+stands in and keep the others.
 """
 
 import json
@@ -19,6 +20,8 @@
 # a quote never fails, and no part of a text is read again from a later quote.
 STRING_PATTERN: Final = r'"[^"\\]*+(?:\\.[^"\\]*+)*+"?'
 _TOKENS: Final = re.compile(rf"{STRING_PATTERN}|[\[\]{{}}]", re.DOTALL)
+# One half of a pair that stands for one character; alone it is no text.
+_SURROGATE: Final = re.compile(r"\\u[dD][89a-fA-F]|[\ud800-\udfff]")
 # Not valid in JSON, and passed to the hook for constants.
 _UNUSABLE_TEXT: Final = "NaN"
 
@@ -28,7 +31,7 @@
 
     def __repr__(self) -> str:
         """Describe the value in messages."""
-        return "a value too deep or too large"
+        return "a value too deep or too large, or no valid text"
 
 
 UNUSABLE: Final = Unusable()
@@ -41,9 +44,46 @@
     """
     text = data if isinstance(data, str) else data.decode()
     try:
-        return _DECODER.decode(text)
+        document = _DECODER.decode(text)
     except RecursionError:
-        return _DECODER.decode(_replace_deep_values(text))
+        document = _DECODER.decode(_replace_deep_values(text))
+    if _SURROGATE.search(text) is not None:
+        document, _ = replace_invalid_texts(document)
+    return document
+
+
+def replace_invalid_texts(document: Any) -> tuple[Any, int]:
+    """Replace the texts of a parsed document that can't be encoded.
+
+    A field with such a name is dropped.
+
+    :return: the document, and how many texts were invalid.
+    """
+    found = 0
+    root = [document]
+    pending: list[Any] = [root]
+    while pending:
+        container = pending.pop()
+        is_list = isinstance(container, list)
+        rows = [*(enumerate(container) if is_list else container.items())]
+        for key, value in rows:
+            if isinstance(key, str) and not _is_valid_text(key):
+                del container[key]
+                found += 1
+            elif isinstance(value, str) and not _is_valid_text(value):
+                container[key] = UNUSABLE
+                found += 1
+            elif isinstance(value, (list, dict)):
+                pending.append(value)
+    return root[0], found
+
+
+def _is_valid_text(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def _replace_deep_values(text: str) -> str:
--- a/kingcuplever/platform/adviser.py
+++ b/kingcuplever/platform/adviser.py
@@ -5,6 +5,7 @@
 
 from kingcuplever.connection import http_client
 from kingcuplever import errors
+from kingcuplever import lenient_json
 from kingcuplever import plain
 from kingcuplever.process.scheduling import advice
 from kingcuplever.process.scheduling import fleet
@@ -42,11 +43,12 @@
                 f"The adviser returned status {response.status}."
             )
         try:
-            document = json.loads(response.body)
+            document = lenient_json.parse(response.body)
             tickets = {
                 workers[worker_id]: str(ticket)
                 for worker_id, ticket in document["Good"]
                 if worker_id in workers
+                and isinstance(ticket, (str, int))
                 and len(str(ticket)) <= _MAX_TICKET_CHARS
             }
             return advice.AdviceReply(tickets, int(document["ValidMs"]) / 1000)
--- a/kingcuplever/platform/executor.py
+++ b/kingcuplever/platform/executor.py
@@ -6,6 +6,7 @@
 
 from kingcuplever.connection import http_client
 from kingcuplever import errors
+from kingcuplever import lenient_json
 from kingcuplever import options
 from kingcuplever import plain
 from kingcuplever.process.agent import executor as executors
@@ -260,8 +261,8 @@
 
 def _parse_object(response: http_client.ClientResponse) -> dict[str, Any]:
     try:
-        document = json.loads(response.body)
-    except (ValueError, RecursionError):
+        document = lenient_json.parse(response.body)
+    except ValueError:
         document = None
     if not isinstance(document, dict):
         raise errors.PlatformFailed(
--- a/tests/test_outside_text.py
+++ b/tests/test_outside_text.py
@@ -3,12 +3,17 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import json
 from typing import Any
 
 from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
+from kingcuplever.connection import keyed_log
 from kingcuplever import errors
+from kingcuplever import lenient_json
+from kingcuplever import plain
 from kingcuplever.platform import executor
+from kingcuplever.process.stored import job_records
 from kingcuplever.request import relay
 import pytest
 import trio
@@ -104,3 +109,48 @@
 def test_id_that_fits_no_header_is_refused(worker_id: str) -> None:
     with pytest.raises(errors.InvalidRequest):
         executor.decode_registration(worker_id, inputs.REGISTRATION, 0.0)
+
+
+HALF = "\ud83d"
+WHOLE = "\U0001f40e"
+
+
+def test_invalid_text_is_unusable_and_the_rest_is_kept() -> None:
+    document = {"bad": [HALF, 1], "good": {"text": WHOLE}, HALF: 2}
+    found = lenient_json.parse(json.dumps(document))
+    assert found == {
+        "bad": [lenient_json.UNUSABLE, 1],
+        "good": {"text": WHOLE},
+    }
+    assert lenient_json.parse(json.dumps(HALF)) is lenient_json.UNUSABLE
+
+
+# Guards against an announcement or intent that keeps a process from sending
+# anything to its peers.
+@pytest.mark.parametrize(
+    "body",
+    [
+        json.dumps({"a": [HALF]}).encode(),
+        json.dumps({HALF: 1}).encode(),
+        b'["\xed\xa0\xbd"]',
+    ],
+)
+def test_body_with_invalid_text_is_refused(body: bytes) -> None:
+    with pytest.raises(errors.InvalidRequest):
+        http_server.parse_json(body)
+
+
+def test_body_with_any_valid_text_is_taken() -> None:
+    document = {WHOLE: f"\\ud83d {WHOLE}"}
+    assert http_server.parse_json(json.dumps(document).encode()) == document
+
+
+# Guards against orders for a worker that can't be sent, whatever else they
+# say, as one of them has such a text.
+@pytest.mark.parametrize("field", ["payload", "account", "queue"])
+def test_record_with_invalid_text_is_refused(field: str) -> None:
+    document = {"queue": "q", "pool": "p", "account": "a", "payload": ""}
+    document |= {"steps": [{"tasks": 1}], "accepted_ms": 0}  # type: ignore
+    value = json.dumps(document | {field: HALF}).encode()
+    with pytest.raises(plain.ValidationError):
+        job_records.decode_record(keyed_log.StoredRecord(0, "s:j", value))
