Scheduler: numbers in a job are not counted to, lists are gone through once

Cause: the slots of a worker were counted up to AntiAffinity, which a caller may set to 10^15, for a task that needs next to nothing; the rows of a list each looked through all tasks of their gang, and members of a gang were each compared with all others. All of it in the owner's event loop, on a legal job.

Change: no more slots than there are tasks; the index of a task is read from its name; a member is compared with 64 others at most; a preemption counts the tasks on a worker as it goes; a machine that an order names twice counts once.

--- a/kingcuplever/platform/hosts.py
+++ b/kingcuplever/platform/hosts.py
@@ -39,7 +39,7 @@
         document = lenient_json.parse(value)
         return maintenance_rounds.RoundOrder(
             int(document["Wave"]),
-            tuple(str(name) for name in document["Machines"]),
+            tuple(dict.fromkeys(map(str, document["Machines"]))),
             float(document["DurationS"]),
             max(1, int(document["MaxCount"])),
         )
--- a/kingcuplever/process/scheduling/evacuator.py
+++ b/kingcuplever/process/scheduling/evacuator.py
@@ -59,7 +59,7 @@
             group = self._state.find_group(run)
             if group is None or group.phase != job_state.ASSIGNED:
                 continue
-            is_listed = group.progressed_ms[group.tasks.index(run.task)] > 0
+            is_listed = group.progressed_ms[group.index_of(run.task)] > 0
             if group.stop_reason or is_listed:
                 continue
             group.stop_reason = "withdrawn by an evacuation"
--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -214,6 +214,10 @@
         """Return the index of a task within the group."""
         return task.task_index - self.first
 
+    def index_of(self, task: str) -> int:
+        """Return the index of one of its tasks by the task's name."""
+        return int(task.rpartition(".")[2]) - self.first
+
     def is_new(self) -> bool:
         """Return whether it has never been placed, so needs no record."""
         return not (self.run or self.phase != WAITING)
--- a/kingcuplever/process/scheduling/preemption.py
+++ b/kingcuplever/process/scheduling/preemption.py
@@ -4,6 +4,7 @@
 stopped there.  Groups that are already being stopped cost nothing more.
 """
 
+import collections
 from collections.abc import Mapping
 from collections.abc import Set
 from typing import Final
@@ -99,13 +100,16 @@
         free = {worker.name: self._free[worker.name] for worker in workers}
         chosen_victims: dict[job_state.Group, None] = {}
         chosen: list[str] = []
+        counts: collections.Counter[str] = collections.Counter()
         cost = _SLOW_RACK_COST_CORE_S if slow else 0.0
-        limit = group.spec.most_per_worker or len(group.tasks)
+        limit = min(
+            group.spec.most_per_worker or len(group.tasks), len(group.tasks)
+        )
         for _ in group.tasks:
             best: tuple[float, str, list[job_state.Group]] | None = None
             for name in free:
                 worker_limit = min(limit, self._task_limits.get(name, limit))
-                if chosen.count(name) >= worker_limit:
+                if counts[name] >= worker_limit:
                     continue
                 option = self._price_one_task(
                     group, name, free[name], chosen_victims
@@ -124,6 +128,7 @@
                 self._free_victim(victim, free)
             free[best[1]] = free[best[1]].subtract(group.spec.resources)
             chosen.append(best[1])
+            counts[best[1]] += 1
         return PreemptionPlan(tuple(chosen), tuple(chosen_victims), cost)
 
     def _price_one_task(
--- a/kingcuplever/process/scheduling/reservation.py
+++ b/kingcuplever/process/scheduling/reservation.py
@@ -96,7 +96,9 @@
 ) -> list[float]:
     """Return the wait until a worker fits one task, two, and so on."""
     request = group.spec.resources
-    limit = group.spec.most_per_worker or len(group.tasks)
+    limit = min(
+        group.spec.most_per_worker or len(group.tasks), len(group.tasks)
+    )
     available = free[worker.name]
     releases = []
     for run, released in worker.allocations.items():
--- a/kingcuplever/process/scheduling/run_observer.py
+++ b/kingcuplever/process/scheduling/run_observer.py
@@ -21,6 +21,8 @@
 # Members of one gang whose logarithms of run times differ by more than
 # rounding explains show their own progress.
 _OWN_RATES: Final = 0.25
+# Members of a gang with which each of the others is compared.
+_MAX_COMPARED_MEMBERS: Final = 64
 
 
 class ListedRun(NamedTuple):
@@ -114,9 +116,13 @@
         nothing of their hosts.
         """
         if not self._gangs_show_own_rates:
-            for other, measured in group.member_progress.items():
+            # All pairs of a large gang would take long.
+            stride = -(-len(group.tasks) // _MAX_COMPARED_MEMBERS)
+            for other in range(0, len(group.tasks), stride):
+                measured = group.member_progress.get(other)
                 if (
-                    measured.is_compared
+                    measured is not None
+                    and measured.is_compared
                     and min(measured.run_s, run_s) > 0
                     and group.assigned_workers[other]
                     != group.assigned_workers[index]
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -204,7 +204,7 @@
         if group is None:
             self._state.order_stop(worker, run)
             return None
-        index = group.tasks.index(running_task.task)
+        index = group.index_of(running_task.task)
         group.update_progress(index, running_task.percent, worker.clock_ms)
         self._update_group(group, running_task, now)
         return run_observer.ListedRun(group, index, running_task)
@@ -230,7 +230,7 @@
             group = self._state.find_group(run)
             if group is None or group.phase != job_state.ASSIGNED:
                 continue
-            if group.progressed_ms[group.tasks.index(run.task)]:
+            if group.progressed_ms[group.index_of(run.task)]:
                 continue
             if group.stop_reason:
                 free = free.add(request)
@@ -427,7 +427,7 @@
                 self._state.order_stop(worker, run)
                 continue
             worker.allocate(run, request)
-            index = group.tasks.index(run.task)
+            index = group.index_of(run.task)
             group.assigned_workers[index] = worker.name
             self._state.dirty_jobs[group.job.name] = None
             self._state.order_stop(worker, run)
@@ -463,12 +463,9 @@
         for run, _ in lost:
             worker.release(run)
         # All members leave the worker before any group is queued again.
-        for _, group in lost:
+        for run, group in lost:
             if group is not None:
-                group.assigned_workers = [
-                    "" if worker_name == name else worker_name
-                    for worker_name in group.assigned_workers
-                ]
+                group.assigned_workers[group.index_of(run.task)] = ""
         for run, group in lost:
             if group is not None:
                 self._jobs.release_task(group, run, worker, outcome, now)
@@ -520,7 +517,7 @@
                 _STALL_TIMEOUT_MS
                 + group.spec.estimate_ms // _STALL_ESTIMATE_DIVISOR
             )
-            index = group.tasks.index(run.task)
+            index = group.index_of(run.task)
             if group.is_stalled(index, worker.clock_ms, stall_timeout_ms):
                 group.stop_reason = "stalled"
                 group.avoided_workers.add(worker.name)
