--- a/tests/pool.py
+++ b/tests/pool.py
@@ -19,6 +19,7 @@
 NORMAL = model.QueuePolicy("normal", "desk", 1, 3, 3.0, 1000)
 ADVISED = model.QueuePolicy("advised", "desk", 1, 3, 3.0, 1000, True)
 BATCH = model.QueuePolicy("batch", "desk", 2, 3, 3.0, 3000)
+QUEUES = {queue.name: queue for queue in (URGENT, NORMAL, BATCH, ADVISED)}
 # Ends that a worker lists at a time.
 MAX_LISTED_ENDS = 500
 
@@ -38,8 +39,13 @@
     account: str = "stable",
     **more: Any,
 ) -> model.JobSpec:
-    """Make a job; ``more`` replaces its other fields."""
+    """Make a job with its queue's limits; ``more`` replaces other fields."""
     job = model.JobSpec(queue, "desk", account, "payload", steps, 0)
+    policy = QUEUES.get(queue)
+    if policy is not None:
+        job = job._replace(
+            priority=policy.priority, most_attempts=policy.most_attempts
+        )
     return job._replace(**more)
 
 
@@ -218,6 +224,7 @@
     :ivar table: the jobs as read from the log.
     :ivar offset: end of the log.
     :ivar guaranteed: guaranteed accelerators of each account.
+    :ivar queues: the queues that are configured.
     :ivar contained: errors that the schedulers have contained; there are none
         unless a test brings them about and allows them.
     :ivar allows_errors: whether there may be such errors.
@@ -237,6 +244,7 @@
         self.offset = 0
         self.events: list[Event] = []
         self.guaranteed = guaranteed or {}
+        self.queues = dict(QUEUES)
         self.contained: list[containment.ContainedError] = []
         self.allows_errors = False
         self.workers = [
@@ -369,6 +377,10 @@
         for run, fake in self.running_tasks(name).items():
             fake.end_run(run, outcome, checkpoint)
 
+    def make_policy(self) -> model.Policy:
+        """Make the policy of the current configuration."""
+        return model.Policy(1, self.queues, self.guaranteed)
+
     def _job_changed(self, name: str) -> None:
         self.scheduler.on_job_changed(
             name, self.table.jobs[name], self.now, self.wall_ms
@@ -376,7 +388,6 @@
 
     def _make_scheduler(self) -> schedulers.Scheduler:
         scheduler = schedulers.Scheduler(self.timing)
-        queues = {q.name: q for q in (URGENT, NORMAL, BATCH, ADVISED)}
-        scheduler.set_policy(model.Policy(1, queues, self.guaranteed))
+        scheduler.set_policy(self.make_policy())
         scheduler.restore(self.table, self.now, self.wall_ms)
         return scheduler
