--- a/soak/clients.py
+++ b/soak/clients.py
@@ -15,6 +15,7 @@
 import trio
 
 from standins import wire_site
+from standins import wire_worker
 
 # Two tasks fill a worker.
 GPUS_PER_TASK: Final = 4
@@ -23,6 +24,9 @@
 _WIDE_SHARE: Final = 0.08
 _WIDE_TASKS: Final = 200
 _WIDE_PAYLOAD_BYTES: Final = 4000
+# Share of urgent jobs that come without a key; most need no accelerators, the
+# others whole workers.
+_ALERT_SHARE: Final = 0.15
 _MAX_ATTEMPTS: Final = 6
 _CALL_TIMEOUT_S: Final = 4.0
 _RETRY_INTERVAL_S: Final = 0.4
@@ -36,6 +40,8 @@
     Times are Unix times in seconds.
 
     :ivar body: JSON body of the submission.
+    :ivar prefix: path of its queue.
+    :ivar key: the caller's key, or empty.
     :ivar accepted_at: time of the first response with status 200, or 0.
     :ivar only_refused: whether every attempt to submit it was refused.
     :ivar wants_cancel: whether the caller cancels it once it is accepted.
@@ -50,6 +56,8 @@
         """Start without any response."""
         self.name = name
         self.body = body
+        self.prefix = wire_site.PREFIX
+        self.key = wire_site.API_KEY
         self.accepted_at = 0.0
         self.only_refused = True
         self.wants_cancel = False
@@ -78,6 +86,7 @@
         self._rng = random.Random(seed + 1)
         # A stream of its own, so that the other jobs of a seed stay the same.
         self._wide_rng = random.Random(seed + 2)
+        self._alert_rng = random.Random(seed + 3)
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
 
     async def run(self, seconds: float) -> None:
@@ -91,6 +100,8 @@
                 jobs = [self._make_job()]
                 if self._wide_rng.random() < _WIDE_SHARE:
                     jobs.append(self._make_wide_job())
+                if self._alert_rng.random() < _ALERT_SHARE:
+                    jobs.append(self._make_alert())
                 for job in jobs:
                     self.jobs.append(job)
                     nursery.start_soon(self._run_caller, job)
@@ -131,6 +142,18 @@
         body["Spec"] = json.dumps(payload)
         return TrackedJob(f"{rng.getrandbits(64):016x}", body)
 
+    def _make_alert(self) -> TrackedJob:
+        rng = self._alert_rng
+        gpus = rng.choice((0, 0, 0, wire_worker.GPUS))
+        body = wire_site.make_job(
+            rng.uniform(0.2, 2.5), Cpu=500, MemMb=256, Gpu=gpus
+        )
+        payload = json.loads(body["Spec"]) | {"gpus": gpus}
+        body["Spec"] = json.dumps(payload)
+        job = TrackedJob(f"{rng.getrandbits(64):016x}", body)
+        job.prefix, job.key = wire_site.ALERTS_PREFIX, ""
+        return job
+
     async def _run_caller(self, job: TrackedJob) -> None:
         for _ in range(_MAX_ATTEMPTS):
             if await self._submit(job):
@@ -141,7 +164,7 @@
             await self._cancel(job)
 
     async def _submit(self, job: TrackedJob) -> bool:
-        status, _ = await self._call("POST", job.name, job.body)
+        status, _ = await self._call("POST", job, job.body)
         if status == 200:
             job.accepted_at = job.accepted_at or time.time()
         if status not in _REFUSAL_STATUSES:
@@ -151,7 +174,7 @@
     async def _cancel(self, job: TrackedJob) -> None:
         for _ in range(_MAX_ATTEMPTS):
             job.cancel_sent_at = job.cancel_sent_at or time.time()
-            status, _ = await self._call("DELETE", job.name)
+            status, _ = await self._call("DELETE", job)
             if status in (200, 410):
                 job.cancel_acknowledged_at = time.time()
                 return
@@ -159,7 +182,7 @@
 
     async def _poll_state(self, job: TrackedJob) -> None:
         while job.state not in ("completed", "failed", "cancelled"):
-            status, response = await self._call("GET", job.name)
+            status, response = await self._call("GET", job)
             if status == 200:
                 job.observed_states.append((time.time(), response["State"]))
             elif status == 410:
@@ -167,7 +190,7 @@
             await trio.sleep(_POLL_INTERVAL_S)
 
     async def _call(
-        self, method: str, job: str, body: Any = None
+        self, method: str, job: TrackedJob, body: Any = None
     ) -> tuple[int, Any]:
         """Send a request to a random entry.
 
@@ -179,14 +202,14 @@
         headers = [
             ("Host", wire_site.HOST),
             ("Content-Length", str(len(data))),
-            ("X-Api-Key", wire_site.API_KEY),
+            ("X-Api-Key", job.key),
             ("X-Kingcuplever-Deadline-Ms", "3000"),
         ]
         try:
             with trio.fail_after(_CALL_TIMEOUT_S):
                 response = await self._pool.request(
                     method,
-                    f"http://{address}{wire_site.PREFIX}{job}",
+                    f"http://{address}{job.prefix}{job.name}",
                     headers=headers,
                     content=data,
                 )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,8 +4,11 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import functools
+import json
 import random
+import socket
 from typing import Final
 from typing import NamedTuple
 
@@ -14,9 +17,33 @@
 _MEAN_INTERVAL_S: Final = 1.2
 _MIN_DURATION_S: Final = 0.3
 _MAX_DURATION_S: Final = 5.0
+_MEAN_INPUT_INTERVAL_S: Final = 4.0
 # All workers are in this data centre.
 _EVACUATION_KEY: Final = "evacuate/hall"
 
+_FOREIGN_HEARTBEAT: Final = json.dumps(
+    {
+        "Service": "desk",
+        "Zone": "hall",
+        "State": "ready",
+        "Capacity": {"Cpu": 128_000, "MemMb": 262_144, "Gpu": 8},
+        "Labels": ["a", "r1"],
+        "Seq": 1,
+    }
+).encode()
+_INPUT_BYTES: Final = 256 * 1024
+# Bodies of legal length that can't be read, or can't be used.
+_BODIES: Final = {
+    "a document in a string": json.dumps(
+        json.dumps([json.loads(_FOREIGN_HEARTBEAT)] * 4000)
+    ).encode()[:_INPUT_BYTES],
+    "brackets and quotes": (b"[" * 3000 + b'"' + b'\\"' * _INPUT_BYTES)[
+        :_INPUT_BYTES
+    ],
+    "half a character": b'{"State": "\\ud800", "Spec": "\\ud800"}',
+    "a number beyond all": b'{"Seq": 1' + b"0" * 3000 + b', "Steps": [1]}',
+}
+
 FaultAction = Callable[[wire_site.Site, str], None]
 
 
@@ -151,6 +178,32 @@
     site.drop_record(_EVACUATION_KEY)
 
 
+def _send_body(method: str, path: str, body: bytes) -> FaultAction:
+    """Make an action that sends a process a body of another writer."""
+
+    def act(site: wire_site.Site, name: str) -> None:
+        is_side = name in site.sides
+        address = (
+            site.get_registry_address(name)
+            if is_side
+            else site.get_caller_address(name)
+        )
+        head = (
+            f"{method} {path} HTTP/1.1\r\nHost: {wire_site.HOST}\r\n"
+            f"X-Api-Key: {wire_site.API_KEY}\r\nConnection: close\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        host, _, port = address.rpartition(":")
+        with (
+            contextlib.suppress(OSError),
+            socket.create_connection((host, int(port)), 1.0) as connection,
+        ):
+            connection.sendall(head.encode() + body)
+            connection.recv(1)
+
+    return act
+
+
 def _do_nothing(site: wire_site.Site, name: str) -> None:
     """End a fault that needs no undoing."""
 
@@ -252,6 +305,24 @@
         ),
         FaultKind("data centre evacuated", "store", 2, _evacuate, _take_back),
     ]
+    # Those of no weight have a stream of their own.
+    heartbeat = ("PUT", "/instances/i-other")
+    job = ("POST", f"{wire_site.PREFIX}{0:016x}")
+    for role, (method, path) in (("side", heartbeat), ("entry", job)):
+        for name, body in _BODIES.items():
+            action = _send_body(method, path, body)
+            name = f"{role} gets {name}"
+            kinds.append(FaultKind(name, role, 0, action, _do_nothing))
+    foreign = ("PUT", "/instances/i-%E2%82%AC", _FOREIGN_HEARTBEAT)
+    kinds.append(
+        FaultKind(
+            "side gets a foreign id",
+            "side",
+            0,
+            _send_body(*foreign),
+            _do_nothing,
+        )
+    )
     for role in ("owner", "entry", "side"):
         for name, begin, end in link_faults:
             kinds.append(FaultKind(f"{role} {name}", role, 1, begin, end))
@@ -275,7 +346,22 @@
         # One fault in three starts together with the next one.
         if rng.random() > 0.33:
             start_s += rng.expovariate(1 / _MEAN_INTERVAL_S)
-    return faults
+    return sorted([*faults, *_plan_inputs(seed, seconds)])
+
+
+def _plan_inputs(seed: int, seconds: float) -> list[Fault]:
+    """Return when processes get what they can't read.
+
+    The other faults of a seed are the same without them.
+    """
+    rng = random.Random(f"inputs {seed}")
+    names = [kind.name for kind in KINDS.values() if not kind.weight]
+    return [
+        Fault(
+            rng.uniform(0.2, seconds), 0.0, rng.choice(names), rng.randrange(9)
+        )
+        for _ in range(int(seconds / _MEAN_INPUT_INTERVAL_S))
+    ]
 
 
 def pick_victim(site: wire_site.Site, fault: Fault) -> str:
--- a/standins/wire_site.py
+++ b/standins/wire_site.py
@@ -37,6 +37,7 @@
 OTHER_API_KEY: Final = "key-of-the-farrier"
 HOST: Final = "jobs.example"
 PREFIX: Final = "/rosters/"
+ALERTS_PREFIX: Final = "/alerts/"
 # Limits of the smallest hosts.
 MEMORY_MB: Final = 200
 DESCRIPTORS: Final = 4100
@@ -270,9 +271,7 @@
             _make_route(f"/route-{n}/") for n in range(2, self.version + 1)
         ]
         self.write_configuration(
-            make_configuration(
-                self.version, Routes=[_make_route(PREFIX), *extra]
-            )
+            make_configuration(self.version, Routes=[*_make_routes(), *extra])
         )
 
     def write_configuration(self, document: Any) -> None:
@@ -455,7 +454,7 @@
     """Make an operator's configuration: one queue and two accounts."""
     document = {
         "Version": version,
-        "Routes": [_make_route(PREFIX)],
+        "Routes": _make_routes(),
         "Services": [{"Name": POOL, "AdmissionCheck": False}],
         "Limits": {"MaxBodyBytes": 262_144},
         "Tenants": [
@@ -466,6 +465,12 @@
     return document | overrides
 
 
+def _make_routes() -> list[dict[str, Any]]:
+    """Make the routes of a site's usual queue, and of anyone's urgent one."""
+    urgent = _make_route(ALERTS_PREFIX) | {"Priority": 0, "Public": True}
+    return [_make_route(PREFIX), urgent]
+
+
 def _make_route(prefix: str) -> dict[str, Any]:
     """Make the route of one queue."""
     return {
