Jobs: an occurrence that was not placed is opened by the next owner

Cause: Job.restore set the next occurrence to open behind the highest one that the record names, and a record names only what has been placed. Now it is the lowest that is neither open nor finished.

--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -381,7 +381,8 @@
 
     :ivar submit_offset: offset of the submission record; sorts the jobs.
     :ivar state: one of the states of :mod:`model`.
-    :ivar next_occurrence: number of the next occurrence to open.
+    :ivar next_occurrence: lowest number of an occurrence that may not have
+        been opened.
     :ivar ended_ms: wall-clock time of its end, or 0.
     :ivar first_placed_ms: wall-clock time of its first placement, or 0.
     :ivar evictions: number of its groups' runs that were preempted.
@@ -505,8 +506,17 @@
             group.restore(row, now)
             if group.phase == DONE and not was_done:
                 occurrence.unfinished[row.step] -= 1
-        opened = [*self.open_occurrences, *self.finished_occurrences]
-        self.next_occurrence = max(opened, default=-1) + 1
+        # A later occurrence may have been placed before an earlier one, which
+        # is in no record then.
+        while self.has_opened(self.next_occurrence):
+            self.next_occurrence += 1
+
+    def has_opened(self, number: int) -> bool:
+        """Return whether an occurrence is open or has been."""
+        return (
+            number in self.open_occurrences
+            or number in self.finished_occurrences
+        )
 
     def _open_recorded(self, number: int) -> Occurrence | None:
         """Return an occurrence that a record names, if it can be open."""
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -169,7 +169,7 @@
             if wall_ms < job.spec.due_ms(number) or job.is_at_task_limit:
                 return
             job.next_occurrence += 1
-            if number in job.finished_occurrences:
+            if job.has_opened(number):
                 continue
             occurrence = job_state.Occurrence(job, number)
             job.open_occurrences[number] = occurrence
--- a/tests/test_job_invariants.py
+++ b/tests/test_job_invariants.py
@@ -20,9 +20,7 @@
 # Histories in one run of the test.
 HISTORIES: Final = 120
 STEPS: Final = 60
-QUEUES: Final = {
-    queue.name: queue for queue in (pools.URGENT, pools.NORMAL, pools.BATCH)
-}
+QUEUES: Final = pools.QUEUES
 
 
 class History:
--- a/tests/test_odd_histories.py
+++ b/tests/test_odd_histories.py
@@ -1,12 +1,16 @@
 """Random histories with jobs that are legal and unusual.
 
 They need no accelerators, or nothing at all; their account or queue is not
-configured, or no longer.
+configured, or no longer; an adviser allows them some workers only.
 """
 
+import zlib
+
 import hypothesis
 from hypothesis import strategies as st
 
+from kingcuplever.process.scheduling import advice
+from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from tests import pool as pools
 from tests import test_job_invariants as histories
@@ -15,15 +19,25 @@
 HISTORIES = 80
 STEPS = 60
 LARGE_NUMBER = 10**6
+MAX_ANSWERS = 20
 ACCOUNTS = ("", "unknown", "stable", "farrier")
 
 
+def is_allowed(step: str, host: str) -> bool:
+    """Return whether a step may run on a host; each may on the first one."""
+    return host == "side-0" or zlib.crc32(f"{step} {host}".encode()) % 3 > 0
+
+
 class OddHistory(wider.WiderHistory):
     """A history with unusual jobs and changes of the configuration."""
 
     def __init__(self, seed: int) -> None:
-        """Create the same pool as :class:`test_job_invariants.History`."""
+        """Create the same pool as :class:`test_job_invariants.History`.
+
+        :ivar answers_all: whether the adviser answers without delay.
+        """
         super().__init__(seed)
+        self.answers_all = False
         self.actions += [
             self.submit_odd,
             self.submit_odd,
@@ -31,6 +45,10 @@
             self.fill_pool,
             self.fill_pool,
             self.change_policy,
+            self.submit_advised,
+            self.submit_advised,
+            self.answer_advice,
+            self.answer_advice,
         ]
 
     def submit_odd(self) -> None:
@@ -56,6 +74,48 @@
         ]
         self._submit(*steps)
 
+    def submit_advised(self) -> None:
+        """Submit a periodic job whose occurrences may go to some workers."""
+        step = pools.step(gpus=self.rng.choice((1, 4, 8)))
+        job = pools.spec(step, queue="advised")
+        job = job._replace(
+            times=self.rng.randint(2, 4),
+            first_ms=self.pool.wall_ms,
+            period_ms=self.rng.choice((50, 300)),
+        )
+        self._submit_job(job)
+
+    def answer_advice(self) -> None:
+        """Have the adviser answer the next requests.
+
+        It always allows a step the same hosts.  A step whose tickets have
+        expired asks again.
+        """
+        scheduler = self.pool.scheduler
+        valid_s = self.rng.choice((1.0, 60.0))
+        for _ in range(MAX_ANSWERS):
+            request = scheduler.next_advice_request()
+            if request is None:
+                return
+            tickets = {
+                name: "a ticket"
+                for name in request.workers
+                if is_allowed(request.step, fleet.side_of(name))
+            }
+            reply = advice.AdviceReply(tickets, valid_s)
+            scheduler.apply_advice(request, reply, self.pool.now)
+
+    def finish_all_jobs(self) -> None:
+        """Check that all jobs end while the adviser answers."""
+        self.answers_all = True
+        super().finish_all_jobs()
+
+    def check(self) -> None:
+        """Check all invariants."""
+        if self.answers_all:
+            self.answer_advice()
+        super().check()
+
     def fill_pool(self) -> None:
         """Submit a job that takes much of the pool."""
         step = pools.step(
@@ -79,7 +139,7 @@
         pool.scheduler.set_policy(pool.make_policy())
 
     def _submit(self, *steps: model.StepSpec) -> None:
-        queue = self.rng.choice(sorted(histories.QUEUES))
+        queue = self.rng.choice(("urgent", "normal", "batch"))
         account = self.rng.choice(ACCOUNTS)
         self._submit_job(pools.spec(*steps, queue=queue, account=account))
 
