Crashes: a job that lasts is not ended by them, an outlasted one is forgotten

Cause: three proven crashes ended any job, and a proven crash stayed for good, also after a run that was at work for longer than the crashed ones. A life without an end comes to three of them.

Change: crashes neither end a job that lasts nor let it wait for their confirmation; a run that outlasts its crashes clears its group of all of them.

--- a/kingcuplever/process/scheduling/crash_attribution.py
+++ b/kingcuplever/process/scheduling/crash_attribution.py
@@ -104,11 +104,14 @@
 def clear_survivor(
     state: scheduler_state.SchedulerState, group: job_state.Group, now: float
 ) -> None:
-    """End the isolation of a suspect that has been at work long enough."""
+    """Clear a suspect that has been at work long enough.
+
+    It has outlasted its crashes, so they were not its own.
+    """
     at_work_s = group.get_time_at_work_s(now)
     if not group.is_listed or at_work_s * 1000 < group.crashes.alone_ms:
         return
-    group.crashes = model.CrashHistory(group.crashes.proven)
+    group.crashes = model.NO_CRASHES
     state.crash_proofs.forget(group)
     state.isolated_groups.pop(group, None)
     state.dirty_jobs[group.job.name] = None
--- a/kingcuplever/process/scheduling/crash_proofs.py
+++ b/kingcuplever/process/scheduling/crash_proofs.py
@@ -132,6 +132,8 @@
     def hold(self, group: job_state.Group, now: float) -> None:
         """Let a group wait if its crashes would end its job if confirmed."""
         crashes = group.crashes
+        if group.spec.long_running:
+            return
         if crashes.unconfirmed and count_crashes(crashes) >= MAX_PROVEN:
             group.not_before = max(group.not_before, now + _HOLD_S)
 
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -299,7 +299,12 @@
     def enforce_crash_limit(
         self, group: job_state.Group, wall_ms: int
     ) -> None:
-        """Fail the job of a group that crashes its workers."""
+        """Fail the job of a group that crashes its workers.
+
+        A task that lasts is restarted however it ends.
+        """
+        if group.spec.long_running:
+            return
         proven = group.crashes.proven
         if proven >= crash_proofs.MAX_PROVEN:
             reason = f"{proven} workers crashed under a task, alone on them"
--- a/tests/test_lasting_suspects.py
+++ b/tests/test_lasting_suspects.py
@@ -76,3 +76,35 @@
     pool.submit("small", pools.spec(small, queue="batch"))
     pool.settle()
     assert len(pool.running_tasks("small")) == 3 * (WORKERS - 1)
+
+
+# Guards against a job that lasts and is shown as failed, though no run of it
+# has ended so: machines under it had crashed for causes of their own.
+def test_job_that_lasts_outlives_any_crashes() -> None:
+    pool = pools.Pool()
+    pool.submit(JOB, pools.spec(LASTING))
+    pool.settle()
+    for _ in range(5):
+        pool.end_worker(find_worker(pool), crashed=True)
+        pool.advance_time(8.0)
+        assert pool.running_tasks(JOB)
+    pool.fail_over()
+    pool.advance_time(8.0)
+    assert pool.running_tasks(JOB)
+    assert pool.get_job_state(JOB) == model.RUNNING
+
+
+# The same for a job that ends: a run that outlasts the crashes before it shows
+# that they were not its own.
+def test_run_that_outlasts_its_crashes_is_cleared_of_them() -> None:
+    pool = pools.Pool()
+    pool.submit(JOB, pools.spec(pools.step(gpus=8, estimate_ms=600_000)))
+    pool.settle()
+    for at_work_s in (1.0, 6.0, 16.0, 30.0):
+        pool.advance_time(at_work_s)
+        assert pool.running_tasks(JOB)
+        pool.end_worker(find_worker(pool), crashed=True)
+        pool.advance_time(8.0)
+    pool.advance_time(2.0)
+    assert pool.running_tasks(JOB)
+    assert pool.get_job_state(JOB) == model.RUNNING
