Side: orders that come while it ends are refused

Change: the agent takes no orders once it is being cancelled, and says so; the owner sends them again, to whoever is there then.

--- a/kingcuplever/process/agent/worker_agent.py
+++ b/kingcuplever/process/agent/worker_agent.py
@@ -99,11 +99,18 @@
         """Poll the worker until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            while True:
-                with self._barrier.contain("poll", self._side) as poll:
-                    await self._poll_worker()
-                if poll.has_failed:
-                    await trio.sleep(_RETRY_S)
+            try:
+                await self._poll_on()
+            finally:
+                # No order may be begun while the nursery closes.
+                self._nursery = None
+
+    async def _poll_on(self) -> None:
+        while True:
+            with self._barrier.contain("poll", self._side) as poll:
+                await self._poll_worker()
+            if poll.has_failed:
+                await trio.sleep(_RETRY_S)
 
     def register(self, registration: executors.Registration) -> None:
         """Apply a registration of the worker."""
@@ -202,7 +209,11 @@
         self._state.contact.record_host_contact()
 
     def apply_orders(self, orders: messages.WorkerOrders) -> bool:
-        """Apply the owner's orders; return false if their epoch is stale."""
+        """Apply the owner's orders; return false if their epoch is stale.
+
+        :raises errors.KingcupleverError: ``OVERLOADED`` while the agent does
+            not run, as when the side ends.
+        """
         if orders.epoch < self._state.epoch:
             return False
         current = self._state.incarnations.current
@@ -215,7 +226,11 @@
                     orders.evacuations_version or 0, orders.evacuated
                 )
             )
-        assert self._nursery is not None
+        if self._nursery is None:
+            raise errors.KingcupleverError(
+                f"Side {self._side} takes no orders now.",
+                errors.Code.OVERLOADED,
+            )
         self._orders.apply_orders(orders, self._nursery)
         return True
 
--- a/tests/test_worker_agent.py
+++ b/tests/test_worker_agent.py
@@ -254,6 +254,26 @@
     assert not fake.calls
 
 
+# Guards against an error that nobody had foreseen in a side that ends: orders
+# came while its tasks were being cancelled (soak seed 117).
+def test_orders_for_an_agent_that_ends_are_a_typed_refusal() -> None:
+    async def main() -> None:
+        agent = worker_agent.WorkerAgent(
+            "side-1", FakeExecutor(), LEASE_MS, job_metrics.JobMetrics()
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(agent.run)
+            agent.record_owner_contact(1, clock.read_moment())
+            agent.register(make_registration())
+            await trio.sleep(0.5)
+            nursery.cancel_scope.cancel()
+        with pytest.raises(errors.KingcupleverError) as raised:
+            agent.apply_orders(make_orders(1, 1))
+        assert raised.value.code is errors.Code.OVERLOADED
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 @with_worker_agent
 async def test_unanswered_start_is_retried_until_the_task_runs(
     agent: worker_agent.WorkerAgent, fake: FakeExecutor
