Metrics: other methods than three are counted under one label

By reading, in the search for what one client may bring about: the label `method` took any word that a client sends, and each one is kept for the life of the process.

--- a/kingcuplever/platform/job_http.py
+++ b/kingcuplever/platform/job_http.py
@@ -26,6 +26,7 @@
 # Whole seconds; about the duration of an owner takeover, or of the log's
 # recovery from a burst.
 _RETRY_AFTER: Final = ("retry-after", "1")
+_METHODS: Final = ("GET", "POST", "DELETE")
 _JOB_NAME: Final = re.compile(r"[0-9a-fA-F]{16}")
 
 
@@ -51,8 +52,10 @@
         response = await self._respond(request)
         seconds = trio.current_time() - began_at
         metrics = self._metrics
-        metrics.answers.labels(request.method, str(response.status)).inc()
-        metrics.answer_seconds.labels(request.method).observe(seconds)
+        # Clients may send any word, and each label is kept.
+        method = request.method if request.method in _METHODS else "other"
+        metrics.answers.labels(method, str(response.status)).inc()
+        metrics.answer_seconds.labels(method).observe(seconds)
         return response
 
     async def _respond(
--- a/tests/test_outside_text.py
+++ b/tests/test_outside_text.py
@@ -13,6 +13,8 @@
 from kingcuplever import lenient_json
 from kingcuplever import plain
 from kingcuplever.platform import executor
+from kingcuplever.platform import job_http
+from kingcuplever.process import job_metrics
 from kingcuplever.process.stored import job_records
 from kingcuplever.request import relay
 import pytest
@@ -154,3 +156,21 @@
     value = json.dumps(document | {field: HALF}).encode()
     with pytest.raises(plain.ValidationError):
         job_records.decode_record(keyed_log.StoredRecord(0, "s:j", value))
+
+
+# Guards against memory that grows with each word a client sends as its method.
+def test_methods_of_clients_are_counted_under_few_labels() -> None:
+    metrics = job_metrics.JobMetrics()
+    api: Any = None
+    handler = job_http.JobHttpHandler(api, metrics)
+
+    async def main() -> None:
+        for number in range(100):
+            method = "GET" if number < 2 else f"WORD{number}"
+            request = http_server.HttpRequest(method, "/x/", {}, {}, b"")
+            assert (await handler.handle(request)).status == 503
+
+    trio.run(main)
+    (family,) = metrics.answers.collect()
+    labels = {sample.labels["method"] for sample in family.samples}
+    assert labels == {"GET", "other"}
