Stand-ins: the members of an operator's gang end together

Cause: on the users' platform the members of a gang "end `done` together. One such end represents all of them" (PROTOCOL.md), and the scheduler relies on it. The stand-ins of the wire sites did so; those of the fleets of real processes ended each member by itself, as far apart as it had been started. The test passed while the members started within one poll of the test.

Change: the workers of a fleet share their gang runs, and payloads made by make_payload name the number of members. The new test has the members start apart, so the order of starts decides nothing any more. The old test is as it was.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,6 +17,7 @@
 from kingcuplever import options
 from standins import deployment
 from standins import fleet as fleets
+from standins import wire_worker
 
 _SIDE_COUNTS: Final = (10, 40, 160)
 _IDLE_WINDOW_S: Final = 15.0
@@ -111,7 +112,7 @@
                 "tasks": 2,
                 "shape": {"gpus": 1, "cores": 1.0, "memory_gb": 1.0},
                 "declared_s": 1.0,
-                "payload": '{"seconds": 0.5}',
+                "payload": wire_worker.make_payload(0.5, tasks=2),
             }
             fleet.apply_intent({"kind": "job", "job": job})
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -23,6 +23,7 @@
 from kingcuplever import options
 from standins import callers
 from standins import fleet as fleets
+from standins import wire_worker
 
 _REQUEST_PAUSE_S: Final = 0.03
 _WORK_MS: Final = 40
@@ -216,7 +217,7 @@
             "tasks": tasks,
             "shape": {"gpus": gpus, "cores": gpus * 2.0, "memory_gb": 16.0},
             "declared_s": seconds,
-            "payload": f'{{"seconds": {seconds}, "gpus": {gpus}}}',
+            "payload": wire_worker.make_payload(seconds, tasks, gpus),
         }
         status, answer = self._fleet.apply_intent({"kind": "job", "job": spec})
         if status != 200:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -11,6 +11,7 @@
 
 from kingcuplever.connection import http_server
 from kingcuplever import plain
+from standins import gang_runs
 from standins import proxy
 from standins import target
 from standins import wire_store
@@ -58,6 +59,7 @@
 async def run(spec: StandinsSpec) -> None:
     """Run the stand-ins until cancelled."""
     stop = trio.Event()
+    gangs = gang_runs.GangRuns()
     async with trio.open_nursery() as nursery:
 
         async def listen(address: str, handler: http_server.Handler) -> None:
@@ -72,6 +74,7 @@
                 worker.rack,
                 worker.side,
                 worker.data_centre,
+                gangs=gangs,
             )
             await listen(worker.address, executor.handle)
             nursery.start_soon(executor.run)
--- a/standins/wire_worker.py
+++ b/standins/wire_worker.py
@@ -26,6 +26,20 @@
 _MAX_LISTED_ENDS: Final = 500
 
 
+def make_payload(seconds: float, tasks: int = 1, gpus: int = 0) -> str:
+    """Make the payload of the tasks of a step.
+
+    :param seconds: duration of each task.
+    :param tasks: number of tasks; several are a gang, and learn their number
+        from the payload.
+    :param gpus: accelerators of each task, for the records of its runs.
+    """
+    payload: dict[str, float] = {"seconds": seconds, "gpus": gpus}
+    if tasks > 1:
+        payload["gang"] = tasks
+    return json.dumps(payload)
+
+
 class TaskStart(NamedTuple):
     """One start of a task that was carried out."""
 
@@ -191,8 +205,11 @@
             )
         if request.path == "/control":
             changes = http_server.parse_json(request.body)
-            controls.check_names(changes, "fails_all")
+            controls.check_names(changes, "fails_all", "start_delay_s")
             self.fails_all = changes.get("fails_all", self.fails_all)
+            self.start_delay_s = changes.get(
+                "start_delay_s", self.start_delay_s
+            )
             return http_server.json_response({})
         if request.path == "/run-start":
             await trio.sleep(self.start_delay_s)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
 from standins import deployment
 from standins import fleet as fleets
 from standins import platform
+from standins import wire_worker
 
 hypothesis.settings.register_profile(
     "fixed", derandomize=True, deadline=None, database=None
@@ -113,7 +114,7 @@
         "tasks": tasks,
         "shape": {"gpus": gpus, "cores": gpus * 2.0, "memory_gb": gpus * 4.0},
         "declared_s": seconds,
-        "payload": f'{{"seconds": {seconds}, "gpus": {gpus}}}',
+        "payload": wire_worker.make_payload(seconds, tasks, gpus),
         **overrides,
     }
     return {"kind": "job", "job": spec}
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -39,6 +39,22 @@
     assert len({task["worker"] for task in tasks}) == 2
 
 
+# Guards against stand-ins whose gangs end one by one: the end of one member
+# stands for all of them, so the job has ended while the others run on.
+def test_members_that_start_apart_end_together(fleet: fleets.Fleet) -> None:
+    late_worker = fleet.standins.workers[0]
+    fleet.control_standin(late_worker.address, start_delay_s=0.5)
+    tasks = len(fleet.standins.workers)
+    conftest.set_account(fleet, "rosters")
+    conftest.submit_job(fleet, "roster", "rosters", tasks=tasks, seconds=1.0)
+    conftest.wait_for_phase(fleet, "roster", "ended")
+    runs = fleet.list_task_runs()
+    assert len(runs) == tasks
+    starts = [task["started_at"] for task in runs]
+    assert max(starts) - min(starts) > 0.4
+    assert {task["phase"] for task in runs} == {"done"}
+
+
 def test_nothing_changes_before_confirmation(fleet: fleets.Fleet) -> None:
     conftest.set_account(fleet, "rosters")
     intent = conftest.make_job_intent("roster", "rosters")
