JSON: a text in another encoding than UTF-8 is no JSON

Seen by reading: the check for halves of surrogate pairs looks at the bytes of a body. json.loads guesses the encoding of bytes, and decodes UTF-16 and UTF-32 so that such halves pass. A body in those brought them past the check, into orders, announcements or reports that can't be sent afterwards.

Cause: what was checked (bytes) is not what was parsed (a text). Both readers of JSON had the check in their own words, too.

Change: lenient_json.decode_text decodes UTF-8, with or without a mark, for both; the one check looks at that text. The soak sends such a body.

--- a/kingcuplever/connection/http_server.py
+++ b/kingcuplever/connection/http_server.py
@@ -39,8 +39,6 @@
 _JSON_STRING: Final = re.compile(
     lenient_json.STRING_PATTERN.encode(), re.DOTALL
 )
-# One half of a pair that stands for one character, escaped or not.
-_SURROGATE: Final = re.compile(rb"\\u[dD][89a-fA-F]|\xed[\xa0-\xbf]")
 # So few values need no exact count.
 _FEW_VALUES: Final = 1024
 # Whole seconds after which a refused request may be sent again.
@@ -106,17 +104,17 @@
         text_bytes = len(body) * _TEXT_BYTES_PER_BYTE
         memory.require(values * _JSON_VALUE_BYTES + text_bytes)
     try:
-        document = json.loads(body)
+        text = lenient_json.decode_text(body)
+        document = json.loads(text)
     except (ValueError, RecursionError) as error:
         raise errors.InvalidRequest(
-            f"The body is not JSON ({error}); send a JSON document."
+            f"The body is not JSON in UTF-8 ({error}); send such a document."
         ) from error
-    if _SURROGATE.search(body) is not None:
-        _, invalid = lenient_json.replace_invalid_texts(document)
-        if invalid:
-            raise errors.InvalidRequest(
-                f"The body has {invalid} texts that are not valid Unicode."
-            )
+    _, invalid = lenient_json.replace_invalid_texts(document, text)
+    if invalid:
+        raise errors.InvalidRequest(
+            f"The body has {invalid} texts that are not valid Unicode."
+        )
     return document
 
 
--- a/kingcuplever/lenient_json.py
+++ b/kingcuplever/lenient_json.py
@@ -1,4 +1,4 @@
-"""Parses JSON in which single values may be unusable.
+"""Decodes JSON texts, in which single values may be unusable.
 
 Another writer may leave values that are nested too deeply, numbers that are
 too large or texts that are not valid Unicode, among valid ones.  Each becomes
@@ -42,23 +42,33 @@
 
     :raises ValueError: if the text is not JSON in UTF-8.
     """
-    text = data if isinstance(data, str) else data.decode()
+    text = data if isinstance(data, str) else decode_text(data)
     try:
         document = _DECODER.decode(text)
     except RecursionError:
         document = _DECODER.decode(_replace_deep_values(text))
-    if _SURROGATE.search(text) is not None:
-        document, _ = replace_invalid_texts(document)
-    return document
+    return replace_invalid_texts(document, text)[0]
 
 
-def replace_invalid_texts(document: Any) -> tuple[Any, int]:
-    """Replace the texts of a parsed document that can't be encoded.
+def decode_text(data: bytes) -> str:
+    """Decode the bytes of a JSON text, which may begin with a mark.
+
+    :raises ValueError: if they are not UTF-8.  The parser would guess other
+        encodings, in which it lets halves of surrogate pairs through.
+    """
+    return data.decode("utf-8-sig")
+
+
+def replace_invalid_texts(document: Any, text: str) -> tuple[Any, int]:
+    """Replace the strings of a parsed document that can't be encoded.
 
     A field with such a name is dropped.
 
-    :return: the document, and how many texts were invalid.
+    :param text: the JSON text that was parsed.
+    :return: the document, and how many strings were invalid.
     """
+    if _SURROGATE.search(text) is None:
+        return document, 0
     found = 0
     root = [document]
     pending: list[Any] = [root]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -41,6 +41,11 @@
         :_INPUT_BYTES
     ],
     "half a character": b'{"State": "\\ud800", "Spec": "\\ud800"}',
+    "half a character in UTF-16": (
+        '{"State": "\ud800", "Spec": "\ud800"}'.encode(
+            "utf-16", "surrogatepass"
+        )
+    ),
     "a number beyond all": b'{"Seq": 1' + b"0" * 3000 + b', "Steps": [1]}',
 }
 
--- a/tests/test_outside_text.py
+++ b/tests/test_outside_text.py
@@ -142,6 +142,21 @@
         http_server.parse_json(body)
 
 
+# The parser guesses the encoding of bytes, and takes such halves in others.
+@pytest.mark.parametrize("encoding", ["utf-16", "utf-16-be", "utf-32"])
+def test_body_in_another_encoding_is_refused(encoding: str) -> None:
+    text = '{"Service": "' + HALF + '"}'
+    with pytest.raises(errors.InvalidRequest, match="UTF-8"):
+        http_server.parse_json(text.encode(encoding, "surrogatepass"))
+    with pytest.raises(ValueError):
+        lenient_json.parse(text.encode(encoding, "surrogatepass"))
+
+
+def test_mark_at_the_beginning_of_a_text_is_skipped() -> None:
+    body = "\ufeff[1]".encode()
+    assert http_server.parse_json(body) == lenient_json.parse(body) == [1]
+
+
 def test_body_with_any_valid_text_is_taken() -> None:
     document = {WHOLE: f"\\ud83d {WHOLE}"}
     assert http_server.parse_json(json.dumps(document).encode()) == document
