Task names: each task has one name

Seen by reading: parse_task_name took any decimal digits, leading zeros and any number of them. `JOB.0.0.00` or a number in other digits was taken for task 0, so an end under that name counted for a task that another name has; a number of over 4,300 digits raised ValueError in each reader of a report.

--- a/kingcuplever/process/scheduling/model.py
+++ b/kingcuplever/process/scheduling/model.py
@@ -1,5 +1,6 @@
 """Job specifications, scheduling policy, and the names of tasks."""
 
+import re
 from typing import Final
 from typing import NamedTuple
 
@@ -20,6 +21,13 @@
 MAX_OCCURRENCES: Final = 10_000
 # Largest number in a job: as a time in milliseconds, beyond the year 30000.
 MAX_NUMBER: Final = 10**15
+# A job's name may contain dots.  Each number has one spelling, so that each
+# task has one name.
+_NUMBER_PATTERN: Final = r"(0|[1-9][0-9]{0,15})"
+_TASK_NAME: Final = re.compile(
+    rf"(.*)\.{_NUMBER_PATTERN}\.{_NUMBER_PATTERN}\.{_NUMBER_PATTERN}",
+    re.DOTALL,
+)
 
 
 class Resources(NamedTuple):
@@ -289,8 +297,8 @@
 
 def parse_task_name(name: str) -> TaskId | None:
     """Parse a task's name; return None if it is not well formed."""
-    # A job's name may contain dots.
-    parts = name.rsplit(".", 3)
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+    found = _TASK_NAME.fullmatch(name)
+    if found is None:
         return None
-    return TaskId(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+    job, occurrence, step, task_index = found.groups()
+    return TaskId(job, int(occurrence), int(step), int(task_index))
--- a/tests/test_outside_text.py
+++ b/tests/test_outside_text.py
@@ -15,6 +15,7 @@
 from kingcuplever.platform import executor
 from kingcuplever.platform import job_http
 from kingcuplever.process import job_metrics
+from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import job_records
 from kingcuplever.request import relay
 import pytest
@@ -173,6 +174,17 @@
         job_records.decode_record(keyed_log.StoredRecord(0, "s:j", value))
 
 
+# Guards against an end that is applied to another task than it names, and
+# against a name whose number can't be converted.
+@pytest.mark.parametrize(
+    "name",
+    ["j.0.0.00", "j.0.0.+1", "j.0.0.\u0661", "j.0.0.", f"j.0.0.{'1' * 5000}"],
+)
+def test_number_in_a_name_has_one_spelling(name: str) -> None:
+    assert model.parse_task_name(name) is None
+    assert model.parse_task_name("j.0.0.10") == model.TaskId("j", 0, 0, 10)
+
+
 # Guards against memory that grows with each word a client sends as its method.
 def test_methods_of_clients_are_counted_under_few_labels() -> None:
     metrics = job_metrics.JobMetrics()
