Evidence audit: each row is checked without a look at all others

Cause: for each placement the accelerators of all open ones were added up, for each bound cell all cells of all accounts, for each end of a job and each claim all reclaims and batches were gone through.

Change: the sums of a worker are kept as placements come and go; reclaims are kept by job.

--- a/kingcuplever/process/evidence_audit.py
+++ b/kingcuplever/process/evidence_audit.py
@@ -4,6 +4,7 @@
 made the decisions, so that a bug in that logic shows as a broken promise.
 """
 
+import collections
 from collections.abc import Iterable
 from typing import Final
 from typing import Literal
@@ -73,6 +74,18 @@
     begun_ms: int
 
 
+class _Placement(NamedTuple):
+    """A run of a group that is on its workers.
+
+    :ivar gpus: accelerators of each task.
+    :ivar tasks: number of its tasks on each worker.
+    """
+
+    run: int
+    gpus: int
+    tasks: collections.Counter[str]
+
+
 def audit(
     values: Iterable[bytes], reclaim_ms: int, until_ms: int
 ) -> list[AuditResult]:
@@ -119,10 +132,14 @@
         self._epoch = 0
         self._digests: dict[int, str] = {}
         self._worker_gpus: dict[str, int] = {}
-        self._placements: dict[str, evidence_records.GroupPlaced] = {}
+        self._placements: dict[str, _Placement] = {}
+        # Accelerators of all placements, and of all bound cells, by worker.
+        self._used_gpus: collections.Counter[str] = collections.Counter()
+        self._promised_gpus: collections.Counter[str] = collections.Counter()
         self._last_runs: dict[str, int] = {}
         self._completed: set[str] = set()
-        self._pending_reclaims: dict[str, _PendingReclaim] = {}
+        # By job and group.
+        self._pending_reclaims: dict[str, dict[str, _PendingReclaim]] = {}
         self._bound_cells: dict[
             tuple[str, str], evidence_records.CellsBound
         ] = {}
@@ -148,8 +165,9 @@
 
     def finish(self, until_ms: int) -> list[AuditResult]:
         """Check what is still pending and return all results."""
-        for group in [*self._pending_reclaims]:
-            self._finish_reclaim(group, until_ms)
+        for groups in [*self._pending_reclaims.values()]:
+            for group in [*groups]:
+                self._finish_reclaim(group, until_ms)
         self._check_operator_jobs()
         return [case.make_result() for case in self._checks.values()]
 
@@ -192,13 +210,15 @@
             self._replay_placement(body, row.at_ms)
         elif isinstance(body, evidence_records.CapacityReclaimed):
             if body.entitled:
-                self._pending_reclaims[body.group] = _PendingReclaim(
-                    self._number, row.at_ms
+                groups = self._pending_reclaims.setdefault(
+                    _job_of(body.group), {}
                 )
+                groups[body.group] = _PendingReclaim(self._number, row.at_ms)
         elif isinstance(body, evidence_records.TaskEnded):
             self._replay_task_end(body)
         else:
-            self._replay_job_end(body)
+            # Reclaims of a job that has ended are not pending any more.
+            self._pending_reclaims.pop(body.job, None)
 
     def _replay_claim(self, body: evidence_records.OwnershipClaimed) -> None:
         """Check the claim of a new owner and drop the previous state.
@@ -212,7 +232,8 @@
         self._claimed_epochs.add(body.epoch)
         previous = evidence_records.parse_head(body.before)
         known = self._digests.get(previous.number)
-        oldest = min(self._digests)
+        # Batches are replayed in the order of their numbers.
+        oldest = next(iter(self._digests))
         if known is not None and known != previous.digest:
             text = (
                 f"batch {previous.number} is not the one that {body.entry} saw"
@@ -223,26 +244,30 @@
                 INTACT_RECORDS, f"batch {previous.number} is gone"
             )
         self._placements.clear()
+        self._used_gpus.clear()
         self._pending_reclaims.clear()
         self._bound_cells.clear()
+        self._promised_gpus.clear()
 
     def _replay_bound_cells(self, body: evidence_records.CellsBound) -> None:
         """Check that the cells bound for all accounts fit the workers."""
         self._checks[GUARANTEE].checked += 1
-        self._bound_cells[body.account, body.data_centre] = body
+        key = (body.account, body.data_centre)
+        before = self._bound_cells.get(key)
+        if before is not None:
+            self._promised_gpus.subtract(_count_cells(before))
+        self._bound_cells[key] = body
+        self._promised_gpus.update(_count_cells(body))
         if body.missing:
             text = (
                 f"{body.account} is short of {body.missing} guaranteed cells"
                 f" in {body.data_centre}"
             )
             self._add_finding(GUARANTEE, text)
-        promised: dict[str, int] = {}
-        for bound in self._bound_cells.values():
-            for worker, gpus in zip(bound.workers, bound.gpus, strict=False):
-                promised[worker] = promised.get(worker, 0) + gpus
         for worker in dict.fromkeys(body.workers):
-            if promised[worker] > self._worker_gpus.get(worker, 0):
-                text = f"{promised[worker]} accelerators of {worker} are bound"
+            promised = self._promised_gpus[worker]
+            if promised > self._worker_gpus.get(worker, 0):
+                text = f"{promised} accelerators of {worker} are bound"
                 self._add_finding(GUARANTEE, text)
 
     def _replay_plan(self, body: evidence_records.PlanAccepted) -> None:
@@ -266,7 +291,11 @@
             self._check_gang(body)
             self._check_runs_once(body)
         self._last_runs[group] = max(body.run, self._last_runs.get(group, 0))
-        self._placements[group] = body
+        self._drop_placement(group)
+        tasks = collections.Counter(body.workers)
+        self._placements[group] = _Placement(body.run, body.gpus, tasks)
+        for worker, count in tasks.items():
+            self._used_gpus[worker] += count * body.gpus
         for worker in dict.fromkeys(body.workers):
             if worker in self._worker_gpus and body.gpus:
                 self._check_worker_capacity(worker, body)
@@ -301,11 +330,7 @@
         self, worker: str, body: evidence_records.GroupPlaced
     ) -> None:
         """Check that a worker's accelerators are not allocated twice."""
-        used = sum(
-            placed.gpus * placed.workers.count(worker)
-            for placed in self._placements.values()
-        )
-        if used > self._worker_gpus[worker]:
+        if self._used_gpus[worker] > self._worker_gpus[worker]:
             text = (
                 f"{body.group} was placed on accelerators in use on {worker}"
             )
@@ -314,26 +339,25 @@
     def _replay_task_end(self, body: evidence_records.TaskEnded) -> None:
         placed = self._placements.get(body.group)
         if placed is not None and placed.run == body.run:
-            workers = [*placed.workers]
-            if body.worker in workers:
-                workers[workers.index(body.worker)] = ""
-            self._placements[body.group] = placed._replace(
-                workers=tuple(workers)
-            )
+            if placed.tasks[body.worker]:
+                placed.tasks[body.worker] -= 1
+                self._used_gpus[body.worker] -= placed.gpus
             if not body.left:
-                del self._placements[body.group]
+                self._drop_placement(body.group)
         if body.outcome == "done":
             self._completed.add(body.group)
 
-    def _replay_job_end(self, body: evidence_records.JobEnded) -> None:
-        """Drop the pending reclaims of a job that has ended."""
-        for group in [*self._pending_reclaims]:
-            if group.rsplit(".", 3)[0] == body.job:
-                del self._pending_reclaims[group]
+    def _drop_placement(self, group: str) -> None:
+        """Drop the placement of a group, if it has one."""
+        placed = self._placements.pop(group, None)
+        if placed is not None:
+            for worker, count in placed.tasks.items():
+                self._used_gpus[worker] -= count * placed.gpus
 
     def _finish_reclaim(self, group: str, at_ms: int) -> None:
         """Check how long a group's reclaim took, if it has one pending."""
-        reclaim = self._pending_reclaims.pop(group, None)
+        groups = self._pending_reclaims.get(_job_of(group), {})
+        reclaim = groups.pop(group, None)
         if reclaim is None:
             return
         self._checks[GUARANTEE].checked += 1
@@ -355,3 +379,18 @@
             if plan is None or plan.subject != body.job:
                 text = f"{body.job} was accepted without a confirmed plan"
                 self._add_finding(CONFIRMED_CHANGES, text, number)
+
+
+def _job_of(group: str) -> str:
+    """Return the job of a group, which is named by its first task."""
+    return group.rsplit(".", 3)[0]
+
+
+def _count_cells(
+    bound: evidence_records.CellsBound,
+) -> collections.Counter[str]:
+    """Return the accelerators of an account's cells by worker."""
+    counted: collections.Counter[str] = collections.Counter()
+    for worker, gpus in zip(bound.workers, bound.gpus, strict=False):
+        counted[worker] += gpus
+    return counted
--- a/tests/test_linear_input.py
+++ b/tests/test_linear_input.py
@@ -1,6 +1,7 @@
 """What is read from outside takes time linear in its length."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import json
 import time
 from typing import Any
@@ -17,6 +18,7 @@
 from kingcuplever.platform import hosts
 from kingcuplever.platform import queues
 from kingcuplever.platform import store
+from kingcuplever.process import evidence_audit
 from kingcuplever.process.routing import targets
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import job_records
@@ -179,10 +181,17 @@
     return took_s
 
 
-def check_growth(reader: Reader, make: Callable[[int], bytes]) -> None:
-    """Check that the time of a reader grows no faster than its text."""
+def check_growth(
+    reader: Reader,
+    make: Callable[[int], bytes],
+    sizes: Sequence[int] = SIZES,
+) -> None:
+    """Check that the time of a reader grows no faster than its text.
+
+    :param sizes: lengths of the text, each four times the one before.
+    """
     before_s = 0.0
-    for size in SIZES:
+    for size in sizes:
         limit_s = MAX_GROWTH * max(before_s, SHORT_S)
         took_s = measure_best_s(reader, make, size, limit_s)
         assert took_s < limit_s, f"{took_s:.2f} s for {size} bytes"
@@ -226,3 +235,69 @@
         return plain.from_plain(dict[str, tuple[int, ...]], document, "x")
 
     check_growth(read, make)
+
+
+WORKER: Final = "i-1@side-1"
+# One row of each kind that the audit compares with others, by its number.
+EVIDENCE: Final[dict[str, Callable[[int], evidence_records.Body]]] = {
+    "open placements": lambda number: evidence_records.GroupPlaced(
+        "j", f"j.0.0.{number}", 1, 1, 1, (WORKER,), 0
+    ),
+    "ends of a gang": lambda number: (
+        evidence_records.TaskEnded("j.0.0.0", 1, WORKER, 1, "done")
+        if number
+        else evidence_records.GroupPlaced(
+            "j", "j.0.0.0", 1, 2000, 1, (WORKER,) * 2000, 0
+        )
+    ),
+    "cells": lambda number: evidence_records.CellsBound(
+        f"account-{number}", "hall", (WORKER,), (1,), 0
+    ),
+    "reclaims": lambda number: (
+        evidence_records.CapacityReclaimed(f"j-{number}.0.0.0", "a", True, ())
+        if number % 2
+        else evidence_records.JobEnded(f"j-{number}", "completed", "")
+    ),
+}
+
+
+def make_batch(make_body: Callable[[int], evidence_records.Body]) -> Any:
+    """Return a function that makes a batch of about so many bytes."""
+
+    def make(size: int) -> bytes:
+        seen = evidence_records.WorkerSeen(WORKER, 1)
+        rows = [evidence_records.Row(0, seen)]
+        left_bytes = size
+        while left_bytes > 0:
+            body = make_body(len(rows) - 1)
+            rows.append(evidence_records.Row(0, body))
+            left_bytes -= evidence_records.measure_row(rows[-1])
+        batch = evidence_records.Batch(1, 1, "", tuple(rows))
+        return evidence_records.encode_batch(batch).value or b""
+
+    return make
+
+
+def audit(data: bytes) -> object:
+    """Audit one batch."""
+    return evidence_audit.audit([data], 1000, 0)
+
+
+# Guards against an audit that compares each row with all rows before it.
+@pytest.mark.parametrize("kind", EVIDENCE)
+def test_evidence_is_audited_in_linear_time(kind: str) -> None:
+    check_growth(audit, make_batch(EVIDENCE[kind]), SIZES[1:4])
+
+
+def test_claims_are_audited_in_linear_time() -> None:
+    """The owner's claims, each in a batch of its own, go back to the first."""
+
+    def read(data: bytes) -> object:
+        numbers = range(1, len(data) // 64)
+        claim = evidence_records.OwnershipClaimed(1, "e1", "1:x")
+        rows = (evidence_records.Row(0, claim),)
+        batches = [evidence_records.Batch(n, 1, "", rows) for n in numbers]
+        values = [evidence_records.encode_batch(b).value for b in batches]
+        return evidence_audit.audit([v for v in values if v], 1000, 0)
+
+    check_growth(read, lambda size: b" " * size, SIZES[1:4])
