Placement: the tasks of a step on each worker are counted once a cycle

Cause: each task that is placed counted the tasks of its whole step on each worker that it looked at. One job of legal size held the owner's loop.

Change: the scheduling cycle counts a step when it first needs to, and counts on as it places tasks.

--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -271,7 +271,7 @@
             group,
             eligible,
             available,
-            lambda name: self._count_step_tasks(group, name),
+            functools.partial(cycle.count_step_tasks, group),
             allow_slow,
             self._make_preferences(group, eligible, now),
         )
@@ -279,8 +279,8 @@
             self._preemptor.subtract_preemption(group, free)
             return False
         self._preemptor.finish(group)
-        cycle.add_usage(group)
         binder.bind(self._state, group, chosen, now)
+        cycle.add_placed(group)
         for name in chosen.workers:
             free[name] = free[name].subtract(group.spec.resources)
         if group.must_run_alone:
@@ -330,17 +330,3 @@
             self._state, group, eligible, cycle.free, cycle.now
         )
         return plan is None or plan.slow
-
-    def _count_step_tasks(self, group: job_state.Group, name: str) -> int:
-        """Count the tasks of a group's step that a worker already has.
-
-        Counted only if the step limits the tasks on one worker.
-        """
-        if not group.spec.most_per_worker:
-            return 0
-        occurrence = group.job.open_occurrences[group.occurrence]
-        return sum(
-            other.assigned_workers.count(name)
-            for other in occurrence.steps[group.step]
-            if other is not group
-        )
--- a/kingcuplever/process/scheduling/scheduling_cycle.py
+++ b/kingcuplever/process/scheduling/scheduling_cycle.py
@@ -1,5 +1,6 @@
 """The state of one scheduling cycle: free resources and cached results."""
 
+import collections
 import functools
 
 from kingcuplever.process.scheduling import accounts
@@ -44,6 +45,9 @@
         self._unplaceable: set[tuple[object, ...]] = set()
         self._urgent_usage: guarantees.GuaranteeUsage | None = None
         self._usage: accounts.Usage | None = None
+        self._step_tasks: dict[
+            tuple[str, int, int], collections.Counter[str]
+        ] = {}
 
     @functools.cached_property
     def is_mostly_free(self) -> bool:
@@ -96,8 +100,31 @@
             self._usage = accounts.count_usage(self._state.jobs.values())
         return self._state.accounts.is_over_limit(group, self._usage)
 
-    def add_usage(self, group: job_state.Group) -> None:
-        """Add a group that was just placed to its account's usage."""
+    def count_step_tasks(self, group: job_state.Group, worker: str) -> int:
+        """Return how many tasks of a group's step a worker has.
+
+        Counted only if the step limits the tasks on one worker.
+        """
+        if not group.spec.most_per_worker:
+            return 0
+        key = (group.job.name, group.occurrence, group.step)
+        counts = self._step_tasks.get(key)
+        if counts is None:
+            occurrence = group.job.open_occurrences[group.occurrence]
+            counts = self._step_tasks[key] = collections.Counter()
+            for other in occurrence.steps[group.step]:
+                counts.update(other.assigned_workers)
+        return counts[worker]
+
+    def add_placed(self, group: job_state.Group) -> None:
+        """Count a group that was just placed."""
+        key = (group.job.name, group.occurrence, group.step)
+        if key in self._step_tasks:
+            self._step_tasks[key].update(group.assigned_workers)
+        self._add_usage(group)
+
+    def _add_usage(self, group: job_state.Group) -> None:
+        """Add a group to its account's usage."""
         if self._usage is None:
             return
         spec = group.job.spec
