Jobs: the end of a step or of a member looks at what it changes only

Cause: each end of a step went through all steps of its job and through all that these come after; each end of a member counted the members that are left.

Change: an occurrence counts for each step how many earlier ones are not done, and the end of a step counts these down. Members are counted by the list. Group.member_index, which did the same as index_of, is gone.

--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -5,6 +5,8 @@
 run carry its number.
 """
 
+from collections.abc import Iterable
+
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.scheduling import progress
 from kingcuplever.process.scheduling import runtime_estimate
@@ -210,12 +212,8 @@
             ran_s = min(ran_s, _CHECKPOINT_PERIOD_S)
         return ran_s * self._weighted_cores
 
-    def member_index(self, task: model.TaskId) -> int:
-        """Return the index of a task within the group."""
-        return task.task_index - self.first
-
     def index_of(self, task: str) -> int:
-        """Return the index of one of its tasks by the task's name."""
+        """Return the index of one of its tasks, given the task's name."""
         return int(task.rpartition(".")[2]) - self.first
 
     def is_new(self) -> bool:
@@ -333,9 +331,10 @@
 
     :ivar steps: the groups of each step.
     :ivar unfinished: number of groups of each step that are not done.
+    :ivar blockers: number of steps that are not done and come before each.
     """
 
-    __slots__ = ("steps", "unfinished")
+    __slots__ = ("steps", "unfinished", "blockers")
 
     def __init__(self, job: "Job", number: int) -> None:
         """Create all groups, in the waiting phase."""
@@ -346,6 +345,20 @@
             groups = [Group(job, number, index, first) for first in firsts]
             self.steps.append(groups)
         self.unfinished = [len(groups) for groups in self.steps]
+        self.blockers = [len({*spec.after}) for spec in job.spec.steps]
+
+    def unblock(self, steps: Iterable[int]) -> list[int]:
+        """Count a step that is done.
+
+        :param steps: those that come after it.
+        :return: those among them that are ready now.
+        """
+        ready = []
+        for step in steps:
+            self.blockers[step] -= 1
+            if not self.blockers[step]:
+                ready.append(step)
+        return ready
 
     @property
     def is_done(self) -> bool:
@@ -387,6 +400,7 @@
     :ivar first_placed_ms: wall-clock time of its first placement, or 0.
     :ivar evictions: number of its groups' runs that were preempted.
     :ivar run_times: what is seen of run times on the queues, if anything is.
+    :ivar dependents: the steps that come after each step.
     """
 
     __slots__ = (
@@ -401,6 +415,7 @@
         "first_placed_ms",
         "evictions",
         "run_times",
+        "dependents",
     )
 
     def __init__(
@@ -418,6 +433,10 @@
         self.first_placed_ms = 0
         self.evictions = 0
         self.run_times: runtime_estimate.RunTimes | None = None
+        self.dependents: list[list[int]] = [[] for _ in spec.steps]
+        for number, step in enumerate(spec.steps):
+            for earlier in {*step.after}:
+                self.dependents[earlier].append(number)
 
     @property
     def has_ended(self) -> bool:
@@ -506,6 +525,10 @@
             group.restore(row, now)
             if group.phase == DONE and not was_done:
                 occurrence.unfinished[row.step] -= 1
+        for occurrence in self.open_occurrences.values():
+            for step, unfinished in enumerate(occurrence.unfinished):
+                if not unfinished:
+                    occurrence.unblock(self.dependents[step])
         # A later occurrence may have been placed before an earlier one, which
         # is in no record then.
         while self.has_opened(self.next_occurrence):
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -1,5 +1,6 @@
 """Manages the lifecycle of jobs: occurrences, steps, runs and retries."""
 
+from collections.abc import Iterable
 from typing import Final
 
 from kingcuplever import logs
@@ -74,7 +75,7 @@
             self.end_job(job, model.CANCELLED, "cancelled", wall_ms)
         else:
             for occurrence in job.open_occurrences.values():
-                self._enqueue_ready_groups(job, occurrence, now)
+                self._enqueue_all_ready(job, occurrence, now)
             self._open_occurrences(job, now, wall_ms)
 
     def _forget_job(self, name: str) -> None:
@@ -173,10 +174,25 @@
                 continue
             occurrence = job_state.Occurrence(job, number)
             job.open_occurrences[number] = occurrence
-            self._enqueue_ready_groups(job, occurrence, now)
+            self._enqueue_all_ready(job, occurrence, now)
 
-    def _enqueue_ready_groups(
+    def _enqueue_all_ready(
         self, job: job_state.Job, occurrence: job_state.Occurrence, now: float
+    ) -> None:
+        """Queue the waiting groups of all steps that are ready."""
+        ready = [
+            step
+            for step, blockers in enumerate(occurrence.blockers)
+            if not blockers
+        ]
+        self._enqueue_groups(job, occurrence, ready, now)
+
+    def _enqueue_groups(
+        self,
+        job: job_state.Job,
+        occurrence: job_state.Occurrence,
+        steps: Iterable[int],
+        now: float,
     ) -> None:
         """Queue the waiting groups of steps whose dependencies are done.
 
@@ -185,13 +201,10 @@
         """
         if job.has_ended:
             return
-        for index, groups in enumerate(occurrence.steps):
-            if not occurrence.unfinished[index]:
+        for step in steps:
+            if not occurrence.unfinished[step]:
                 continue
-            after = job.spec.steps[index].after
-            if any(occurrence.unfinished[earlier] for earlier in after):
-                continue
-            for group in groups:
+            for group in occurrence.steps[step]:
                 if (
                     group.phase == job_state.WAITING
                     and group not in self._state.ready_queue
@@ -216,7 +229,8 @@
         self._state.dirty_jobs[job.name] = None
         self._state.ready_queue.discard(group)
         if not occurrence.unfinished[group.step]:
-            self._enqueue_ready_groups(job, occurrence, now)
+            ready = occurrence.unblock(job.dependents[group.step])
+            self._enqueue_groups(job, occurrence, ready, now)
         if occurrence.is_done:
             job.finished_occurrences.add(group.occurrence)
             if (
@@ -239,10 +253,9 @@
         group is queued again after the last member, unless its job has
         ended.
         """
-        task = model.parse_task_name(run.task)
-        if task is None or run.run != group.run:
+        if run.run != group.run:
             return
-        index = group.member_index(task)
+        index = group.index_of(run.task)
         if group.assigned_workers[index] == worker.name:
             group.assigned_workers[index] = ""
         self._record_release(group, worker, reason)
@@ -275,9 +288,8 @@
         outcome = group.stop_reason or reason
         if group.phase == job_state.DONE:
             outcome = "done"
-        still_assigned = sum(
-            bool(worker_name) for worker_name in group.assigned_workers
-        )
+        workers = group.assigned_workers
+        still_assigned = len(workers) - workers.count("")
         task_ended = evidence_records.TaskEnded(
             group.tasks[0], group.run, worker.name, still_assigned, outcome
         )
