Host speeds: a step that only one host has run needs no fit

Cause: beyond 96 steps each new one folds the oldest into what is known of its hosts, and for that all were fitted anew, though a step of one host says nothing of it, and a step that was fitted has its mean.

Change: only a step of several hosts that was never fitted needs a fit.

Tests: tests/test_decision_time.py counts the calls of the scheduler for jobs with many tasks, members, steps and times, to their end, through a crash and while others wait.

--- a/kingcuplever/process/scheduling/host_speed.py
+++ b/kingcuplever/process/scheduling/host_speed.py
@@ -115,13 +115,21 @@
 
 
 class _Step:
-    """A step that is fitted."""
+    """A step that is fitted.
+
+    :ivar mean: absent until it was fitted.
+    """
 
     __slots__ = ("cells", "mean")
 
     def __init__(self) -> None:
         self.cells: dict[str, _Cell] = {}
-        self.mean = 0.0
+        self.mean: float | None = None
+
+    @property
+    def compares_hosts(self) -> bool:
+        """Whether it says anything of its hosts."""
+        return len(self.cells) > 1
 
 
 class _Host:
@@ -230,9 +238,6 @@
         step = self._steps.get(comparison.step)
         if step is None:
             if len(self._steps) >= _MAX_STEPS:
-                if not self._is_fitted:
-                    # A step that was never fitted has no mean to fold by.
-                    self._fit()
                 self._fold_oldest_step()
             step = self._steps[comparison.step] = _Step()
         cell = step.cells.get(comparison.host)
@@ -251,10 +256,16 @@
 
     def _fold_oldest_step(self) -> None:
         """Keep what the oldest step shows of its hosts, and drop it."""
-        step = self._steps.pop(next(iter(self._steps)))
+        name = next(iter(self._steps))
+        if self._steps[name].compares_hosts and self._steps[name].mean is None:
+            # The others are fitted with it, so this is rare.
+            self._fit()
+        step = self._steps.pop(name)
+        if step.mean is None:
+            return
         total = sum(1 / cell.variance for cell in step.cells.values())
-        for name, cell in step.cells.items():
-            host = self._hosts.get(name)
+        for host_name, cell in step.cells.items():
+            host = self._hosts.get(host_name)
             if host is None:
                 continue
             weight = 1 / cell.variance
--- a/tests/test_decision_time.py
+++ b/tests/test_decision_time.py
@@ -1,11 +1,15 @@
 """What one job or report holds takes the scheduler time linear in it."""
 
 from collections.abc import Callable
+import cProfile
+import functools
 import time
 from typing import Any
 
 from kingcuplever.platform import hosts
+from kingcuplever.process.scheduling import host_speed
 from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import scheduler as schedulers
 import pytest
 
 from tests import pool as pools
@@ -18,6 +22,8 @@
 TASKS = (500, 2000)
 # Time that grows with the square of the number of tasks grows 16 times.
 MAX_GROWTH = 8.0
+# The same for numbers of calls, as a multiple of the growth of the tasks.
+MAX_CALLS_GROWTH = 1.25
 SHORT_S = 0.01
 TRIES = 3
 
@@ -90,6 +96,125 @@
     raise AssertionError(f"grows {growths} times")
 
 
+class CountingPool(pools.Pool):
+    """A pool with large workers that counts the steps of its scheduler.
+
+    Unlike times, the numbers of calls of functions are the same in each run.
+    """
+
+    def __init__(self) -> None:
+        """Create four workers with room for any number of small tasks."""
+        self._profile = cProfile.Profile()
+        super().__init__(workers=4)
+        for fake in self.workers:
+            fake.capacity = model.Resources(10**7, 10**7, 10**5)
+        self.settle()
+
+    def count_calls(self) -> int:
+        """Return how many functions the scheduler has called so far."""
+        return sum(entry.callcount for entry in self._profile.getstats())
+
+    def _make_scheduler(self) -> schedulers.Scheduler:
+        made = self._profile.runcall(super()._make_scheduler)
+        for name in (
+            "tick",
+            "apply_report",
+            "take_record_batch",
+            "confirm_commit",
+            "on_job_changed",
+        ):
+            counted = functools.partial(
+                self._profile.runcall, getattr(made, name)
+            )
+            setattr(made, name, counted)
+        return made
+
+
+SMALL = pools.step(gpus=0, cpu_milli=1, memory_mb=0)
+# Jobs of so many tasks, in what a job may have many of.
+JOBS: dict[str, Callable[[int], model.JobSpec]] = {
+    "tasks, apart": lambda tasks: pools.spec(
+        SMALL._replace(tasks=tasks, most_per_worker=tasks)
+    ),
+    "a gang": lambda tasks: pools.spec(
+        SMALL._replace(tasks=tasks, gang=True, same_rack=True)
+    ),
+    "steps": lambda tasks: pools.spec(*[SMALL] * tasks),
+    "steps before one": lambda tasks: pools.spec(
+        *[SMALL] * (tasks - 1), SMALL._replace(after=tuple(range(tasks - 1)))
+    ),
+    "times": lambda tasks: pools.spec(
+        SMALL, times=tasks, first_ms=1, period_ms=1
+    ),
+}
+
+
+def end_in_turn(pool: CountingPool) -> None:
+    """End all tasks, as many at a time as a worker lists."""
+    for _ in range(6):
+        pool.end_tasks(JOB, "done")
+        pool.settle()
+
+
+def crash_one(pool: CountingPool) -> None:
+    """Crash a worker, so that its tasks are placed again."""
+    successor = pool.end_worker(pool.workers[0], crashed=True)
+    successor.capacity = pool.workers[1].capacity
+    pool.advance_time(2.0)
+
+
+def make_others_wait(pool: CountingPool) -> None:
+    """Have urgent work wait for whole workers."""
+    whole = pools.step(gpus=10**5, cpu_milli=10**7)
+    gang = whole._replace(tasks=5, gang=True, same_rack=True)
+    for name, waiting in (("whole", whole), ("wider", gang)):
+        pool.submit(name, pools.spec(waiting, queue="urgent"))
+    pool.advance_time(1.0)
+
+
+def count_calls(
+    kind: str, tasks: int, act: Callable[[CountingPool], None]
+) -> int:
+    """Run a job of so many tasks, and then what an action does to it."""
+    pool = CountingPool()
+    pool.submit(JOB, JOBS[kind](tasks))
+    pool.advance_time(1.0)
+    act(pool)
+    return pool.count_calls()
+
+
+# Guards against an owner that is silent for seconds, and then replaced, as one
+# job has many tasks, steps or times: each task looked at all others.
+@pytest.mark.parametrize("act", [end_in_turn, crash_one, make_others_wait])
+@pytest.mark.parametrize("kind", JOBS)
+def test_large_job_takes_linear_time(
+    kind: str, act: Callable[[CountingPool], None]
+) -> None:
+    small, large = TASKS
+    growth = count_calls(kind, large, act) / count_calls(kind, small, act)
+    assert growth < MAX_CALLS_GROWTH * large / small
+
+
+def compare_hosts(steps: int) -> float:
+    """Return the processor time of comparisons by so many steps."""
+    speeds = host_speed.HostSpeeds()
+    began_s = time.process_time()
+    for number in range(2000):
+        step = f"{JOB}.0.{number % steps}"
+        comparison = host_speed.Comparison("side-0", "a", step, 5.0, 0.01, 0.2)
+        speeds.compare(comparison, 1.0, 1000)
+    return time.process_time() - began_s
+
+
+# Guards against a fit of all hosts for each step that only one host has run.
+def test_steps_of_one_host_are_not_fitted() -> None:
+    growths = [
+        compare_hosts(2000) / max(SHORT_S, compare_hosts(1))
+        for _ in range(TRIES)
+    ]
+    assert min(growths) < MAX_GROWTH
+
+
 def test_machine_that_an_order_names_twice_counts_once() -> None:
     order = hosts.decode_wave(
         b'{"Wave": 1, "Machines": ["m-1", "m-2", "m-1"],'
