Placement: a job at rest does not wait long beside idle workers

Cause: whether the wait for a rack is over was asked before whether the pool is mostly free; so while some rack could hold the gang once it is empty, idle workers elsewhere did not count.

Change: while most accelerators are free, a job of which nothing runs waits two seconds for the right rack. The other tasks of a job that runs wait as before.

--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -316,7 +316,7 @@
         In a busy pool the work may finish earlier by waiting for workers in
         the right rack, if there are any that could take it.
         """
-        is_wait_over = placement.is_locality_wait_over(group, cycle.now)
+        is_wait_over = cycle.is_locality_wait_over(group)
         if not is_wait_over and (
             group.must_run_alone or placement.can_be_local(group, eligible)
         ):
--- a/kingcuplever/process/scheduling/scheduling_cycle.py
+++ b/kingcuplever/process/scheduling/scheduling_cycle.py
@@ -2,6 +2,7 @@
 
 import collections
 import functools
+from typing import Final
 
 from kingcuplever.process.scheduling import accounts
 from kingcuplever.process.scheduling import bindings
@@ -13,6 +14,9 @@
 from kingcuplever.process.scheduling import scheduler_state
 from kingcuplever.process.scheduling import worker_filter
 
+# Longest wait of a job for the right rack while most workers are idle.
+_MAX_IDLE_WAIT_S: Final = 2.0
+
 
 class SchedulingCycle:
     """One pass over the ready queue; its counts are computed on first use.
@@ -45,6 +49,7 @@
         self._unplaceable: set[tuple[object, ...]] = set()
         self._urgent_usage: guarantees.GuaranteeUsage | None = None
         self._usage: accounts.Usage | None = None
+        self._at_work: dict[job_state.Job, bool] = {}
         self._step_tasks: dict[
             tuple[str, int, int], collections.Counter[str]
         ] = {}
@@ -57,6 +62,23 @@
         free = sum(max(0, worker.free.gpus) for worker in usable)
         return free * 2 > total
 
+    def is_locality_wait_over(self, group: job_state.Group) -> bool:
+        """Return whether a group has waited long enough for the right rack.
+
+        A job of which nothing runs is not kept waiting beside idle workers.
+        """
+        if placement.is_locality_wait_over(group, self.now):
+            return True
+        if self.now - group.ready_at <= _MAX_IDLE_WAIT_S:
+            return False
+        return self.is_mostly_free and not self._is_at_work(group.job)
+
+    def _is_at_work(self, job: job_state.Job) -> bool:
+        """Return whether a task of a job has a worker."""
+        if job not in self._at_work:
+            self._at_work[job] = not job.has_no_worker
+        return self._at_work[job]
+
     def find_eligible(
         self,
         group: job_state.Group,
@@ -118,6 +140,7 @@
 
     def add_placed(self, group: job_state.Group) -> None:
         """Count a group that was just placed."""
+        self._at_work[group.job] = True
         key = (group.job.name, group.occurrence, group.step)
         if key in self._step_tasks:
             self._step_tasks[key].update(group.assigned_workers)
@@ -183,5 +206,6 @@
             len(group.tasks),
             spec.same_rack,
             spec.data_rack,
-            placement.is_locality_wait_over(group, self.now),
+            placement.is_locality_sensitive(spec)
+            and self.is_locality_wait_over(group),
         )
--- a/tests/test_job_scheduling.py
+++ b/tests/test_job_scheduling.py
@@ -196,6 +196,45 @@
     assert not pool.running_tasks("j2")
 
 
+def make_spread_pool() -> pools.Pool:
+    """Return a pool of three racks with a small task in each."""
+    pool = pools.Pool(9)
+    for number in range(3):
+        small = pools.step(data_rack=f"r1-{number}", estimate_ms=90_000)
+        pool.submit(f"small-{number}", pools.spec(small))
+    pool.settle()
+    return pool
+
+
+GANG_OF_A_RACK = pools.step(
+    3, 8, gang=True, same_rack=True, estimate_ms=60_000
+)
+TASK_OF_A_RACK = pools.step(data_rack="r1-0", gpus=8, estimate_ms=60_000)
+
+
+# Guards against a job that does nothing for as long as it will run, beside
+# idle workers, as each rack that could take it has some other work (LOST).
+def test_job_at_rest_does_not_wait_long_beside_idle_workers() -> None:
+    pool = make_spread_pool()
+    pool.submit("j1", pools.spec(GANG_OF_A_RACK))
+    pool.advance_time(1.0)
+    assert not pool.running_tasks("j1")
+    pool.advance_time(1.8)
+    assert len(pool.running_tasks("j1")) == 3
+
+
+# The same for a single task; the others of its job wait for their rack.
+def test_one_task_of_a_job_leaves_a_busy_rack() -> None:
+    pool = pools.Pool(9)
+    pool.submit("local", pools.spec(TASK_OF_A_RACK._replace(tasks=3)))
+    pool.settle()
+    pool.submit("j1", pools.spec(TASK_OF_A_RACK._replace(tasks=3)))
+    pool.advance_time(1.0)
+    assert not pool.running_tasks("j1")
+    pool.advance_time(4.0)
+    assert len(pool.running_tasks("j1")) == 1
+
+
 # Guards against the next step of a job that was cancelled while the end of its
 # last task was on its way (UNASKED).
 def test_cancelled_job_begins_no_further_step(pool: pools.Pool) -> None:
