Validation: a message lists the first faults and counts the others

Cause: each fault names all fields that are allowed, and all faults were joined.

Change: a message lists a hundred faults and says how many more there are. The error has them all.

--- a/kingcuplever/plain.py
+++ b/kingcuplever/plain.py
@@ -3,7 +3,7 @@
 Records on the log, HTTP bodies, configuration and settings are NamedTuples in
 the program, and JSON or TOML outside.  Plain values are what parsers of those
 return: dicts, lists and scalars.  Validation collects all faults with their
-paths, so that one error names all of them.
+paths, so that one error names them together.
 """
 
 import contextlib
@@ -17,6 +17,8 @@
 
 T = TypeVar("T")
 
+# Most faults in a message, which is logged and sent as a whole.
+_MAX_LISTED_FAULTS: Final = 100
 # Longest part of a name in a path.
 _MAX_NAME_CHARS: Final = 60
 
@@ -56,8 +58,12 @@
     """
 
     def __init__(self, faults: list[Fault]) -> None:
-        """Store the faults; the message lists them all."""
-        super().__init__("; ".join(str(fault) for fault in faults))
+        """Store the faults; the message lists the first of them."""
+        lines = [str(fault) for fault in faults[:_MAX_LISTED_FAULTS]]
+        more = len(faults) - len(lines)
+        if more:
+            lines.append(f"{more} more")
+        super().__init__("; ".join(lines))
         self.faults = faults
 
 
--- a/tests/test_linear_input.py
+++ b/tests/test_linear_input.py
@@ -20,6 +20,7 @@
 from kingcuplever.platform import store
 from kingcuplever.process import evidence_audit
 from kingcuplever.process.routing import targets
+from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import evidence_records
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import owner_announcements
@@ -223,6 +224,17 @@
     assert http_server.parse_json(body)["Spec"] == marks
 
 
+# Guards against a log line of megabytes for one record.
+def test_many_faults_are_counted_after_the_first() -> None:
+    document = {f"field-{number}": 1 for number in range(20_000)}
+    with pytest.raises(plain.ValidationError) as caught:
+        plain.from_plain(model.JobSpec, document, "job")
+    text = str(caught.value)
+    assert "job.field-0 is unknown" in text
+    assert text.endswith(f"{len(caught.value.faults) - 100} more")
+    assert len(text) < 64 * 1024
+
+
 def test_faults_are_told_in_linear_time() -> None:
     """One long name and many faults below it do not multiply."""
 
