Validation: a value that is passed on as it is has a bounded depth

Seen: an intent with a configuration nested 500 deep was taken (it parses up to nearly 1,000), and to_plain exceeded the stack as the plan was recorded or shown: an unforeseen error in place of a clear one. The same would hold for such a record of another writer.

Cause: a field of type Any is passed on without a look; whether it can be taken apart then depended on the stack of whoever did.

Change: deeper than 64, it is a fault, as for values that are typed.

--- a/kingcuplever/plain.py
+++ b/kingcuplever/plain.py
@@ -19,6 +19,8 @@
 
 # Most faults in a message, which is logged and sent as a whole.
 _MAX_LISTED_FAULTS: Final = 100
+# Deepest value that is passed on as it is.
+_MAX_DEPTH: Final = 64
 # Longest part of a name in a path.
 _MAX_NAME_CHARS: Final = 60
 
@@ -109,6 +111,9 @@
 def _build(typ: Any, value: Any, path: str, faults: list[Fault]) -> Any:
     origin = typing.get_origin(typ)
     if typ is Any:
+        if _is_too_deep(value):
+            allowed = f"a value nested {_MAX_DEPTH} deep at most"
+            faults.append(Fault(path, "nested deeper", allowed))
         return value
     if hasattr(typ, "_fields"):
         return _build_tuple(typ, value, path, faults)
@@ -198,6 +203,26 @@
     return f"{path}.{name}" if path else name
 
 
+def _is_too_deep(value: Any) -> bool:
+    """Return whether a value is nested deeper than any document.
+
+    What takes it apart later would exceed the interpreter's stack.
+    """
+    containers = [value]
+    for _ in range(_MAX_DEPTH):
+        containers = [
+            item
+            for container in containers
+            if isinstance(container, (dict, list))
+            for item in (
+                container.values()
+                if isinstance(container, dict)
+                else container
+            )
+        ]
+    return bool(containers)
+
+
 def _format_value(value: Any) -> str:
     try:
         text = repr(value)
--- a/tests/test_outside_text.py
+++ b/tests/test_outside_text.py
@@ -10,6 +10,7 @@
 from kingcuplever.connection import http_server
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
+from kingcuplever import intents
 from kingcuplever import lenient_json
 from kingcuplever import plain
 from kingcuplever.platform import executor
@@ -174,6 +175,19 @@
         job_records.decode_record(keyed_log.StoredRecord(0, "s:j", value))
 
 
+# Guards against a configuration that is taken, and later exceeds the stack of
+# whatever takes it apart: its plan, its record or the answer about it.
+def test_value_that_is_passed_on_is_not_nested_too_deeply() -> None:
+    def read(depth: int) -> intents.Intent:
+        nested = json.loads("[" * depth + "]" * depth)
+        document = {"kind": "config", "config": {"limits": nested}}
+        return plain.from_plain(intents.Intent, document, "intent")
+
+    assert plain.to_plain(read(60))
+    with pytest.raises(plain.ValidationError, match="nested deeper"):
+        read(600)
+
+
 # Guards against an end that is applied to another task than it names, and
 # against a name whose number can't be converted.
 @pytest.mark.parametrize(
