Peers: a reply that can't be sent is an error of its request

Seen by reading: a target's answer of over 4 MiB, which one request brings about, made a reply that no frame takes. The error ended the link of the side, and all other requests on it got no answer ("may have run").

Cause: the handling of a request was contained, the encoding of its reply was not.

Change: such a reply becomes a PEER_FAILED of its request, which the entry tells its caller as unknown, as it may have run.

--- a/kingcuplever/connection/peer.py
+++ b/kingcuplever/connection/peer.py
@@ -19,6 +19,7 @@
 from kingcuplever.connection import frames
 from kingcuplever import containment
 from kingcuplever import errors
+from kingcuplever import logs
 from kingcuplever import messages
 
 # Requests of the other end that may be in progress at once.
@@ -151,9 +152,8 @@
             containment.report_error("message", kind, error)
             code = errors.Code.PEER_FAILED
             reply = messages.PeerError(code.value, f"{kind} failed.")
-        data = frames.encode(frames.Frame(frame.id, True, reply))
         try:
-            await self._write(data)
+            await self._write(_encode_reply(frame.id, reply))
         except errors.PeerLost:
             # The reading task sees the end of the connection, too.
             return
@@ -189,6 +189,18 @@
 WRITE_TIMEOUT_S = 5.0
 
 
+def _encode_reply(call_id: int, reply: messages.Message) -> bytes:
+    """Encode a reply; one that can't be sent, as an error of its request."""
+    try:
+        return frames.encode(frames.Frame(call_id, True, reply))
+    except errors.InvalidRequest as error:
+        logs.warn(logs.Component.MEMBER, error.detail)
+        failed = messages.PeerError(
+            errors.Code.PEER_FAILED.value, error.detail
+        )
+        return frames.encode(frames.Frame(call_id, True, failed))
+
+
 def _make_error(reply: messages.PeerError) -> errors.KingcupleverError:
     """Make the error that the other end replied with.
 
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -180,3 +180,30 @@
                 assert reply == messages.WorkerReply(7)
 
     run_with_peer(case, handler)
+
+
+# Guards against a link that ends, with all requests on it, since the reply to
+# one of them is too long for a frame.
+def test_reply_that_is_too_long_is_an_error_of_its_request() -> None:
+    async def handler(
+        peer: peers.PeerConnection, message: messages.Message
+    ) -> messages.Message:
+        if message == messages.OwnerProbe(1):
+            body = b"x" * frames.MAX_FRAME_BYTES
+            return messages.DispatchReply(
+                "r1", messages.ANSWERED, 200, (), body, len(body), ""
+            )
+        return messages.WorkerReply(7)
+
+    async def case(peer: peers.PeerConnection, far: trio.abc.Stream) -> None:
+        for epoch in (1, 2):
+            request = frames.Frame(epoch, False, messages.OwnerProbe(epoch))
+            await far.send_all(frames.encode(request))
+            reply = (await read_frame(far)).message
+            if epoch == 1:
+                assert isinstance(reply, messages.PeerError)
+                assert str(frames.MAX_FRAME_BYTES) in reply.detail
+            else:
+                assert reply == messages.WorkerReply(7)
+
+    run_with_peer(case, handler)
