Names: what can't be the key of a record is refused where it comes in

Seen: an operator's job under a name of 300 characters was planned; as it was confirmed, the owner's term ended (real processes: "Contained, term of e2: ValueError('bytes must be in range(0, 256)') in _encode_record"), and the operator got 503.

Cause: the log has one byte for the length of a key. The limits of an append were checked for the record and the call, not for the key, so the error came in the task that appends for all.

Change: AppendLimits.explain_excess knows the key; plans refuse names of over 100 bytes of jobs, accounts and data centres; a heartbeat under such an id is refused, as the key of its silence would be.

Tests: tests/test_whole_path.py (real processes), test_accounts.py, test_append_bounds.py, test_outside_text.py: 6 new cases, all failed before.

--- a/kingcuplever/connection/keyed_log.py
+++ b/kingcuplever/connection/keyed_log.py
@@ -15,6 +15,8 @@
 
 # Longest value of a caller's record, far below the usual limit of the log.
 MAX_RECORD_BYTES: Final = 192 * 1024
+# The log has one byte for the length of a key.
+MAX_KEY_BYTES: Final = 255
 
 
 class KeyedRecord(NamedTuple):
@@ -42,6 +44,12 @@
 
     def explain_excess(self, records: Sequence[KeyedRecord]) -> str:
         """Return why records can never be appended together, or empty."""
+        longest_key = max((len(r.key.encode()) for r in records), default=0)
+        if longest_key > MAX_KEY_BYTES:
+            return (
+                f"A key of {longest_key} bytes can't be stored; the log takes"
+                f" {MAX_KEY_BYTES}."
+            )
         longest = max(map(measure_record, records), default=0)
         if longest > self.record_bytes:
             return (
--- a/kingcuplever/platform/executor.py
+++ b/kingcuplever/platform/executor.py
@@ -27,6 +27,7 @@
 # and messages have room for.
 _MAX_TEXT_BYTES: Final = 4096
 _MAX_LABELS: Final = 64
+_MAX_ID_BYTES: Final = 100
 _MAX_CHECKPOINT_BYTES: Final = 1024
 
 
@@ -228,11 +229,13 @@
 
 
 def _check_id(worker_id: str) -> None:
-    """Check that an id can be sent as the value of a header."""
+    """Check that an id can be sent in a header, and be part of a key."""
     _check_text(worker_id)
     is_plain = worker_id.isascii() and worker_id.isprintable()
     if not is_plain or worker_id != worker_id.strip():
         raise ValueError(f"the id {worker_id!r:.40} fits no header")
+    if len(worker_id) > _MAX_ID_BYTES:
+        raise ValueError(f"the id {worker_id!r:.40} fits no key of a record")
 
 
 def _check_text(value: Any) -> str:
--- a/kingcuplever/process/owner/planner.py
+++ b/kingcuplever/process/owner/planner.py
@@ -23,6 +23,8 @@
 
 _MB_PER_GB: Final = 1024
 _MILLI: Final = 1000
+# Longest name in an intent; the key of a record has two and some more.
+_MAX_NAME_BYTES: Final = 100
 # Largest amount and time in an intent; thousandths of it fit into a job.
 _MAX_NUMBER: Final = 1e11
 # Queue name of jobs submitted by operators; it is shown in lists of jobs.
@@ -174,9 +176,22 @@
     return Draft(effects, "", forecast)
 
 
+def _check_name(path: str, name: str) -> str:
+    """Return why a record can't have a name as its key; empty if it can."""
+    if not name or "/" in name or len(name.encode()) > _MAX_NAME_BYTES:
+        return (
+            f"{path} must be a name without '/', of {_MAX_NAME_BYTES} bytes"
+            " at most."
+        )
+    return ""
+
+
 def _check_account(spec: intents.AccountSpec) -> str:
-    if not spec.account or "/" in spec.account:
-        return "account.account must be a name without '/'."
+    fault = _check_name("account.account", spec.account)
+    if not fault and len(spec.data_centre.encode()) > _MAX_NAME_BYTES:
+        fault = f"account.data_centre exceeds {_MAX_NAME_BYTES} bytes."
+    if fault:
+        return fault
     for guarantee in spec.guarantees:
         if guarantee.cells < 1:
             return (
@@ -248,8 +263,9 @@
 
 def _check_job(inputs: PlannerInput, spec: intents.GangSpec) -> str:
     shape = spec.shape
-    if not spec.job or "/" in spec.job:
-        return "job.job must be a name without '/'."
+    fault = _check_name("job.job", spec.job)
+    if fault:
+        return fault
     if not 1 <= spec.tasks <= intents.MAX_GANG_TASKS:
         return (
             f"job.tasks is {spec.tasks}; allowed: 1 to"
@@ -314,10 +330,9 @@
     inputs: PlannerInput, spec: intents.EvacuationSpec
 ) -> Draft:
     name = spec.data_centre
-    if not name or "/" in name:
-        return _make_refusal(
-            "evacuation.data_centre must be a name without '/'."
-        )
+    fault = _check_name("evacuation.data_centre", name)
+    if fault:
+        return _make_refusal(fault)
     evacuated = inputs.intents.evacuations.view.data_centres
     if (name in evacuated) == spec.evacuated:
         state = "evacuated already" if spec.evacuated else "not evacuated"
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -346,6 +346,18 @@
             "6 tasks",
         ),
         (intents.Intent("job", job=make_gang("j/k", "maps")), "without '/'"),
+        (intents.Intent("job", job=make_gang("j" * 300, "maps")), "100 bytes"),
+        (
+            intents.Intent("account", account=make_account("m" * 300)),
+            "100 bytes",
+        ),
+        (
+            intents.Intent(
+                "evacuation",
+                evacuation=intents.EvacuationSpec("d" * 300, True),
+            ),
+            "100 bytes",
+        ),
         (
             intents.Intent("job", job=make_gang("j", "maps", team="x")),
             "Team x",
--- a/tests/test_append_bounds.py
+++ b/tests/test_append_bounds.py
@@ -42,6 +42,16 @@
     return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+# Guards against an owner whose term ends, and that of each successor, since an
+# operator's job or account has a name that is too long for a key.
+def test_key_that_the_log_can_not_hold_is_refused_before_it_is_sent() -> None:
+    longest = keyed_log.KeyedRecord("s:" + "x" * 253, b"{}")
+    assert not LIMITS.explain_excess([longest])
+    assert store._encode_record(longest)
+    longer = longest._replace(key=longest.key + "x")
+    assert "256 bytes" in LIMITS.explain_excess([longest, longer])
+
+
 # Guards against a batch over the bound of a call, which is repeated for good:
 # while one append takes long, large records gather behind it.
 @pytest.mark.parametrize("size", [1000, 190_000, LIMITS.record_bytes])
--- a/tests/test_outside_text.py
+++ b/tests/test_outside_text.py
@@ -108,8 +108,10 @@
 
 
 # Guards against a side that ends, and again after each restart, when another
-# writer registers under an id that no header can carry.
-@pytest.mark.parametrize("worker_id", ["i-\u20ac", "i-\u00e9", "i\n1", " i-1"])
+# writer registers under an id that no header can carry, or no key of a record.
+@pytest.mark.parametrize(
+    "worker_id", ["i-\u20ac", "i-\u00e9", "i\n1", " i-1", "i" * 300]
+)
 def test_id_that_fits_no_header_is_refused(worker_id: str) -> None:
     with pytest.raises(errors.InvalidRequest):
         executor.decode_registration(worker_id, inputs.REGISTRATION, 0.0)
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -93,6 +93,22 @@
     assert "2 adjacent worker cells" in second[1]["newer_plan"]["refusal"]
 
 
+# Guards against an owner whose term ends by the name of one job, which is too
+# long for the key of a record.
+def test_long_name_is_refused_and_the_owner_goes_on(
+    fleet: fleets.Fleet,
+) -> None:
+    conftest.set_account(fleet, "rosters")
+    epoch = fleet.list_status("owners")[0]["epoch"]
+    intent = conftest.make_job_intent("x" * 300, "rosters")
+    status, plan = fleet.apply_intent(intent)
+    assert status == 422
+    assert "100 bytes" in plan["refusal"]
+    conftest.submit_job(fleet, "roster", "rosters", seconds=0.5)
+    conftest.wait_for_phase(fleet, "roster", "ended")
+    assert fleet.list_status("owners")[0]["epoch"] == epoch
+
+
 def test_configuration_reaches_every_side(fleet: fleets.Fleet) -> None:
     document = {"scheduling": {"reclaim_ms": 4000}}
     status, answer = fleet.apply_intent({"kind": "config", "config": document})
