Announcements: numbers and names that no heartbeat takes are refused

Seen by reading: a target that announces 2^31 slots, or a name of megabytes, was taken. Each heartbeat of its side then failed to be encoded, so the side lost its links to all entries, again and again, with all other targets beside it.

Cause: an announcement was checked from below only, while it goes on into a message with bounds.

Change: both bounds are checked where the announcement comes in.

Test: tests/test_outside_text.py, 5 of 5 new cases failed before; the largest announcement that is taken fits a heartbeat.

--- a/kingcuplever/process/routing/targets.py
+++ b/kingcuplever/process/routing/targets.py
@@ -13,6 +13,9 @@
 
 # A target without an announcement for this many of its periods is removed.
 _MAX_MISSED_PERIODS: Final = 3
+# Largest number and longest name that heartbeats have room for.
+_MAX_NUMBER: Final = 2**31 - 1
+_MAX_NAME_CHARS: Final = 200
 # Weight of the newest sample in a target's moving average of latency.
 _LATENCY_WEIGHT: Final = 0.2
 
@@ -48,9 +51,16 @@
         ("period", announcement.period_ms, 1),
         ("cold_left_ms", announcement.cold_left_ms, 0),
     ):
-        if value < minimum:
-            allowed = f"{minimum} or more"
-            faults.append(plain.Fault(name, repr(value), allowed))
+        if not minimum <= value <= _MAX_NUMBER:
+            allowed = f"{minimum} to {_MAX_NUMBER}"
+            faults.append(plain.Fault(name, f"{value!r:.40}", allowed))
+    for name, text in (
+        ("target", announcement.target),
+        ("service_name", announcement.service_name),
+    ):
+        if len(text) > _MAX_NAME_CHARS:
+            allowed = f"{_MAX_NAME_CHARS} characters at most"
+            faults.append(plain.Fault(name, f"{text!r:.40}", allowed))
     try:
         options.split_address(announcement.address)
     except ValueError:
--- a/tests/test_outside_text.py
+++ b/tests/test_outside_text.py
@@ -6,16 +6,19 @@
 import json
 from typing import Any
 
+from kingcuplever.connection import frames
 from kingcuplever.connection import http_client
 from kingcuplever.connection import http_server
 from kingcuplever.connection import keyed_log
 from kingcuplever import errors
 from kingcuplever import intents
 from kingcuplever import lenient_json
+from kingcuplever import messages
 from kingcuplever import plain
 from kingcuplever.platform import executor
 from kingcuplever.platform import job_http
 from kingcuplever.process import job_metrics
+from kingcuplever.process.routing import targets
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import job_records
 from kingcuplever.request import relay
@@ -190,6 +193,40 @@
         read(600)
 
 
+# Guards against a side without links, as one target's announcement does not
+# fit into the heartbeats about all of them.
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("slots", 2**31),
+        ("cold_left_ms", 10**400),
+        ("period_ms", 2**31),
+        ("target", "t" * 201),
+        ("service_name", "s" * 4 * 1024 * 1024),
+    ],
+)
+def test_announcement_that_no_heartbeat_takes_is_refused(
+    field: str, value: object
+) -> None:
+    sound = targets.Announcement(
+        "t" * 200,
+        "s" * 200,
+        "127.0.0.1:8080",
+        2**31 - 1,
+        1000,
+        False,
+        2**31 - 1,
+    )
+    document = plain.to_plain(sound)
+    table = targets.TargetTable()
+    table.apply_announcement(targets.parse_announcement(document), 0.0)
+    states = table.list_states(0.0)
+    heartbeat = messages.Heartbeat("side", 1, 1, "hall", states, 0, None)
+    assert frames.encode(frames.Frame(1, False, heartbeat))
+    with pytest.raises(plain.ValidationError, match=field.partition("_")[0]):
+        targets.parse_announcement(document | {field: value})
+
+
 # Guards against an end that is applied to another task than it names, and
 # against a name whose number can't be converted.
 @pytest.mark.parametrize(
