Metrics: services that callers name share a label unless they have targets

Seen by reading: the labels `service` of kingcuplever_requests and kingcuplever_request_seconds took the word in a caller's path. Each label is kept, some kilobytes of it, so a caller who names a new service in each request takes the memory of the entry until it is ended.

Change: a service without targets is counted under one label. All other labels were looked at: they come from a fixed set, from operators or from executors.

--- a/kingcuplever/process/routing/router.py
+++ b/kingcuplever/process/routing/router.py
@@ -303,6 +303,10 @@
                     decisions.append(self._refuse_expired(queued.ticket))
         return decisions + self._serve_queues(now)
 
+    def has_service(self, service: str) -> bool:
+        """Return whether a target of a service has been here."""
+        return service in self._by_service
+
     def count_queued(self) -> int:
         """Count the queued tickets."""
         return sum(
--- a/kingcuplever/process/routing/router_task.py
+++ b/kingcuplever/process/routing/router_task.py
@@ -174,6 +174,10 @@
         await self._send.send(_Describe(send))
         return await receive.receive()
 
+    def has_service(self, service: str) -> bool:
+        """Return whether a target of a service has been here."""
+        return self._router.has_service(service)
+
     def count_queued(self) -> int:
         """Count the queued requests, for metrics."""
         return self._router.count_queued()
--- a/kingcuplever/request/caller.py
+++ b/kingcuplever/request/caller.py
@@ -31,6 +31,8 @@
 # count as attempts; each one takes at least a round trip to a side.
 _MAX_ROUNDS: Final = 100
 _SERVER_ERROR: Final = 500
+# Label of services without targets.
+_UNKNOWN_SERVICE: Final = "unknown"
 
 
 class CallerHandler:
@@ -80,7 +82,7 @@
             self._in_progress -= 1
         seconds = time.monotonic() - started
         self._metrics.request_seconds.labels(
-            spec.service, spec.priority
+            self._label_service(spec), spec.priority
         ).observe(seconds)
         return response
 
@@ -120,7 +122,15 @@
             )
 
     def _count_result(self, spec: headers.CallerRequest, result: str) -> None:
-        self._metrics.requests.labels(spec.service, result).inc()
+        self._metrics.requests.labels(self._label_service(spec), result).inc()
+
+    def _label_service(self, spec: headers.CallerRequest) -> str:
+        """Return the label of a service; callers may name any, and each stays.
+
+        Those without targets share one.
+        """
+        is_known = self._router.has_service(spec.service)
+        return spec.service if is_known else _UNKNOWN_SERVICE
 
 
 class Overloaded(errors.KingcupleverError):
