Executor: the reason of a refused start is one of those that are known

Seen by reading: the word that an executor gives was passed on as it came, into the report of its side, a log line and a label of a metric. One of megabytes fits no report, so the side would report nothing any more.

Cause: what goes on into a message was not bounded where it comes in, as with the announcements.

Change: another word than those of the protocol counts as "invalid".

Test: tests/test_outside_text.py, 3 of 3 new cases failed before.

--- a/kingcuplever/platform/executor.py
+++ b/kingcuplever/platform/executor.py
@@ -15,6 +15,7 @@
 
 # The states of a registration, and whether the worker drains in each.
 _DRAINING_BY_STATE: Final = {"ready": False, "draining": True}
+_REFUSAL_REASONS: Final = ("fence", "old", "late", "room", "ticket")
 _EXPECT_INSTANCE_HEADER: Final = "X-Kingcuplever-Expect-Instance"
 # Both ends are on one host, so a response that takes longer is lost.
 _CALL_TIMEOUT_S: Final = 0.7
@@ -63,8 +64,9 @@
         if response.status == 200:
             return executors.StartAnswer(True, "")
         if response.status == 409:
-            reason = str(_parse_object(response).get("Reason", "invalid"))
-            return executors.StartAnswer(False, reason)
+            reason = _parse_object(response).get("Reason")
+            known = reason if reason in _REFUSAL_REASONS else "invalid"
+            return executors.StartAnswer(False, known)
         if response.status in (429, 503):
             return executors.StartAnswer(False, "unhealthy")
         return executors.StartAnswer(False, "invalid")
--- a/tests/test_outside_text.py
+++ b/tests/test_outside_text.py
@@ -17,12 +17,14 @@
 from kingcuplever import plain
 from kingcuplever.platform import executor
 from kingcuplever.platform import job_http
+from kingcuplever.process.agent import executor as executors
 from kingcuplever.process import job_metrics
 from kingcuplever.process import metrics as entry_metrics
 from kingcuplever.process.routing import limits
 from kingcuplever.process.routing import members
 from kingcuplever.process.routing import router_task
 from kingcuplever.process.routing import targets
+from kingcuplever.process.scheduling import fleet
 from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import job_records
 from kingcuplever.request import caller
@@ -288,3 +290,27 @@
         (family,) = metric.collect()
         labels = {sample.labels["service"] for sample in family.samples}
         assert labels == {"unknown"}
+
+
+class _Refuser:
+    """An executor's client; each start is refused for a reason."""
+
+    def __init__(self, reason: object) -> None:
+        self._body = json.dumps({"Reason": reason}).encode()
+
+    async def call(self, *_: Any, **__: Any) -> http_client.ClientResponse:
+        await trio.lowlevel.checkpoint()
+        return http_client.ClientResponse(409, (), self._body)
+
+
+# Guards against a side that reports nothing any more, as the reason of one
+# refusal fits no message; and against a label for each word.
+@pytest.mark.parametrize("reason", ["r" * 5 * 1024 * 1024, ["room"], None])
+def test_reason_that_is_not_known_is_not_passed_on(reason: object) -> None:
+    def start(given: object) -> executors.StartAnswer:
+        client: Any = _Refuser(given)
+        order = fleet.StartOrder("j.0.0.0", 1, "", "", "")
+        return trio.run(executor.Executor(client).start, "i-1", order, 1000, 1)
+
+    assert start(reason) == executors.StartAnswer(False, "invalid")
+    assert start("room") == executors.StartAnswer(False, "room")
