Intents: numbers that can't be stored or divided by are refused

Cause: the readers of the log take integers of 64 bits and finite floats; what came in was checked for its type. The planner divided by amounts that the job then rounds.

Change: plain.from_plain takes no other numbers than the readers of the log do; the planner counts by the request that the job will have.

--- a/kingcuplever/plain.py
+++ b/kingcuplever/plain.py
@@ -8,6 +8,7 @@
 
 import contextlib
 import functools
+import math
 import types
 import typing
 from typing import Any
@@ -17,6 +18,8 @@
 
 T = TypeVar("T")
 
+# Numbers on the log have 64 bits.
+_INTEGER_LIMIT: Final = 2**63
 # Most faults in a message, which is logged and sent as a whole.
 _MAX_LISTED_FAULTS: Final = 100
 # Deepest value that is passed on as it is.
@@ -69,7 +72,10 @@
         self.faults = faults
 
 
-_NUMBER_DESCRIPTIONS = {int: "a whole number", float: "a number"}
+_NUMBER_DESCRIPTIONS = {
+    int: "a whole number of 64 bits",
+    float: "a finite number",
+}
 
 
 def to_plain(value: Any) -> Any:
@@ -191,11 +197,18 @@
     if typ is float and type(value) is int:
         with contextlib.suppress(OverflowError):
             return float(value)
-    if type(value) is not typ:
+    if type(value) is not typ or not _can_be_stored(value):
         faults.append(Fault(path, _format_value(value), _describe_type(typ)))
     return value
 
 
+def _can_be_stored(value: Any) -> bool:
+    """Return whether a scalar is the same after it was written and read."""
+    if type(value) is int:
+        return -_INTEGER_LIMIT <= value < _INTEGER_LIMIT
+    return type(value) is not float or math.isfinite(value)
+
+
 def _join(path: str, name: str) -> str:
     """Return the path of a value; a long name is cut, as paths repeat it."""
     if len(name) > _MAX_NAME_CHARS:
--- a/kingcuplever/process/owner/planner.py
+++ b/kingcuplever/process/owner/planner.py
@@ -90,12 +90,12 @@
     :param fits_rack: whether some rack can hold the whole gang; it must then
         run in one rack.
     """
-    shape = spec.shape
+    request = _make_request(spec.shape)
     step = model.StepSpec(
         tasks=spec.tasks,
-        cpu_milli=round(shape.cores * _MILLI),
-        memory_mb=round(shape.memory_gb * _MB_PER_GB),
-        gpus=shape.gpus,
+        cpu_milli=request.cpu_milli,
+        memory_mb=request.memory_mb,
+        gpus=request.gpus,
         estimate_ms=round(spec.declared_s * _MILLI),
         gang=spec.tasks > 1,
         same_rack=spec.tasks > 1 and fits_rack,
@@ -401,17 +401,18 @@
     worker: fleet.Worker, shape: intents.TaskShape
 ) -> int:
     """Count the tasks of a shape that the worker could hold when empty."""
-    counts = [intents.MAX_GANG_TASKS]
-    capacity = worker.capacity
-    if shape.gpus:
-        counts.append(capacity.gpus // shape.gpus)
-    if shape.cores > 0:
-        counts.append(int(capacity.cpu_milli // (shape.cores * _MILLI)))
-    if shape.memory_gb > 0:
-        counts.append(
-            int(capacity.memory_mb // (shape.memory_gb * _MB_PER_GB))
-        )
-    return min(counts)
+    return _make_request(shape).count_fits(
+        worker.capacity, intents.MAX_GANG_TASKS
+    )
+
+
+def _make_request(shape: intents.TaskShape) -> model.Resources:
+    """Return what a task of a shape takes out of a worker's capacity."""
+    return model.Resources(
+        round(shape.cores * _MILLI),
+        round(shape.memory_gb * _MB_PER_GB),
+        shape.gpus,
+    )
 
 
 def _describe_nearest_shape(
