--- a/kingcuplever/lenient_json.py
+++ b/kingcuplever/lenient_json.py
@@ -51,7 +51,7 @@
 
 
 def decode_text(data: bytes) -> str:
-    """Decode the bytes of a JSON text, which may begin with a mark.
+    """Decode the bytes of a JSON text; a byte order mark is skipped.
 
     :raises ValueError: if they are not UTF-8.  The parser would guess other
         encodings, in which it lets halves of surrogate pairs through.
--- a/kingcuplever/process/owner/planner.py
+++ b/kingcuplever/process/owner/planner.py
@@ -23,7 +23,7 @@
 
 _MB_PER_GB: Final = 1024
 _MILLI: Final = 1000
-# Longest name in an intent; the key of a record has two and some more.
+# Longest name in an intent; the key of a record holds two of them at most.
 _MAX_NAME_BYTES: Final = 100
 # Largest amount and time in an intent; thousandths of it fit into a job.
 _MAX_NUMBER: Final = 1e11
--- a/tests/test_outside_text.py
+++ b/tests/test_outside_text.py
@@ -166,7 +166,7 @@
         lenient_json.parse(text.encode(encoding, "surrogatepass"))
 
 
-def test_mark_at_the_beginning_of_a_text_is_skipped() -> None:
+def test_byte_order_mark_is_skipped() -> None:
     body = "\ufeff[1]".encode()
     assert http_server.parse_json(body) == lenient_json.parse(body) == [1]
 
