Validation: the bounds of JSON values stand in one place

Seen on a last reading of the whole change: the deepest nesting and the integers of 64 bits were in lenient_json already and were written again in plain, so the two could drift apart; two tests of frames had the same nine lines.

No bound is another.

--- a/kingcuplever/lenient_json.py
+++ b/kingcuplever/lenient_json.py
@@ -11,11 +11,11 @@
 from typing import Any
 from typing import Final
 
-# Deeper than any document of the interfaces.
-_MAX_DEPTH: Final = 64
+# No document of the interfaces is nested deeper.
+MAX_DEPTH: Final = 64
 # Longest text of an integer of 64 bits, with its sign.
 _MAX_INTEGER_CHARS: Final = 20
-_INTEGER_LIMIT: Final = 2**63
+INTEGER_LIMIT: Final = 2**63
 # A string, also one that is not closed: it extends to the end.  So a match at
 # a quote never fails, and no part of a text is read again from a later quote.
 STRING_PATTERN: Final = r'"[^"\\]*+(?:\\.[^"\\]*+)*+"?'
@@ -103,13 +103,13 @@
     for token in _TOKENS.finditer(text):
         if token[0] in ("[", "{"):
             depth += 1
-            if depth == _MAX_DEPTH + 1:
+            if depth == MAX_DEPTH + 1:
                 parts += [text[kept_from : token.start()], _UNUSABLE_TEXT]
         elif token[0] in ("]", "}"):
-            if depth == _MAX_DEPTH + 1:
+            if depth == MAX_DEPTH + 1:
                 kept_from = token.end()
             depth -= 1
-    if depth > _MAX_DEPTH:
+    if depth > MAX_DEPTH:
         raise ValueError("brackets are not closed")
     return "".join([*parts, text[kept_from:]])
 
@@ -117,7 +117,7 @@
 def _parse_integer(text: str) -> Any:
     if len(text) <= _MAX_INTEGER_CHARS:
         value = int(text)
-        if -_INTEGER_LIMIT <= value < _INTEGER_LIMIT:
+        if -INTEGER_LIMIT <= value < INTEGER_LIMIT:
             return value
     return UNUSABLE
 
--- a/kingcuplever/plain.py
+++ b/kingcuplever/plain.py
@@ -16,14 +16,12 @@
 from typing import NamedTuple
 from typing import TypeVar
 
+from kingcuplever import lenient_json
+
 T = TypeVar("T")
 
-# Numbers on the log have 64 bits.
-_INTEGER_LIMIT: Final = 2**63
 # Most faults in a message, which is logged and sent as a whole.
 _MAX_LISTED_FAULTS: Final = 100
-# Deepest value that is passed on as it is.
-_MAX_DEPTH: Final = 64
 # Longest part of a name in a path.
 _MAX_NAME_CHARS: Final = 60
 
@@ -118,7 +116,7 @@
     origin = typing.get_origin(typ)
     if typ is Any:
         if _is_too_deep(value):
-            allowed = f"a value nested {_MAX_DEPTH} deep at most"
+            allowed = f"a value nested {lenient_json.MAX_DEPTH} deep at most"
             faults.append(Fault(path, "nested deeper", allowed))
         return value
     if hasattr(typ, "_fields"):
@@ -205,7 +203,8 @@
 def _can_be_stored(value: Any) -> bool:
     """Return whether a scalar is the same after it was written and read."""
     if type(value) is int:
-        return -_INTEGER_LIMIT <= value < _INTEGER_LIMIT
+        limit = lenient_json.INTEGER_LIMIT
+        return -limit <= value < limit
     return type(value) is not float or math.isfinite(value)
 
 
@@ -222,7 +221,7 @@
     What takes it apart later would exceed the interpreter's stack.
     """
     containers = [value]
-    for _ in range(_MAX_DEPTH):
+    for _ in range(lenient_json.MAX_DEPTH):
         containers = [
             item
             for container in containers
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -157,16 +157,12 @@
     run_with_peer(case, peers.reject_requests)
 
 
-# Guards against a process that ends by an odd error in handling one request.
-def test_odd_error_of_one_request_is_replied_and_the_others_are_served() -> (
-    None
-):
-    async def handler(
-        peer: peers.PeerConnection, message: messages.Message
-    ) -> messages.Message:
-        if message == messages.OwnerProbe(1):
-            raise LookupError("odd")
-        return messages.WorkerReply(7)
+def check_first_of_two_fails(handler: peers.Handler) -> messages.PeerError:
+    """Send two requests; return the error that the first one gets.
+
+    The second one must be replied on the same connection.
+    """
+    failures: list[messages.PeerError] = []
 
     async def case(peer: peers.PeerConnection, far: trio.abc.Stream) -> None:
         for epoch in (1, 2):
@@ -176,10 +172,27 @@
             if epoch == 1:
                 assert isinstance(reply, messages.PeerError)
                 assert reply.code == errors.Code.PEER_FAILED.value
+                failures.append(reply)
             else:
                 assert reply == messages.WorkerReply(7)
 
     run_with_peer(case, handler)
+    (failure,) = failures
+    return failure
+
+
+# Guards against a process that ends by an odd error in handling one request.
+def test_odd_error_of_one_request_is_replied_and_the_others_are_served() -> (
+    None
+):
+    async def handler(
+        peer: peers.PeerConnection, message: messages.Message
+    ) -> messages.Message:
+        if message == messages.OwnerProbe(1):
+            raise LookupError("odd")
+        return messages.WorkerReply(7)
+
+    check_first_of_two_fails(handler)
 
 
 # Guards against a link that ends, with all requests on it, since the reply to
@@ -195,15 +208,5 @@
             )
         return messages.WorkerReply(7)
 
-    async def case(peer: peers.PeerConnection, far: trio.abc.Stream) -> None:
-        for epoch in (1, 2):
-            request = frames.Frame(epoch, False, messages.OwnerProbe(epoch))
-            await far.send_all(frames.encode(request))
-            reply = (await read_frame(far)).message
-            if epoch == 1:
-                assert isinstance(reply, messages.PeerError)
-                assert str(frames.MAX_FRAME_BYTES) in reply.detail
-            else:
-                assert reply == messages.WorkerReply(7)
-
-    run_with_peer(case, handler)
+    error = check_first_of_two_fails(handler)
+    assert str(frames.MAX_FRAME_BYTES) in error.detail
