Pacing: a new owner restores the pace that its predecessor lowered

Workers saw: a filling task that an owner had slowed for a serving one stayed at that pace after a takeover, for good (12 percent in the test, 0 at the worst).

Cause: a pace is an order that lasts, and no record has it. A new owner starts from 100 percent and orders changes only, so "no order" was read as "full pace". The same where the order for full pace was replaced by one that left it out.

Change: the first list of a worker shows what adopted filling tasks use. The new owner orders that pace, and probes upwards until a serving task comes near its target; without one it orders full pace. A run that was slowed stays ordered.

A pace is not recorded: it changes each second while it is lowered.

--- a/kingcuplever/process/scheduling/fleet.py
+++ b/kingcuplever/process/scheduling/fleet.py
@@ -168,6 +168,8 @@
     :ivar orders_sent_at: monotonic time when they were sent.
     :ivar paces: share of its CPU that a filling run may use, in percent,
         for runs that are or were slowed.
+    :ivar adopted_runs: filling runs of a former owner, until the first list.
+    :ivar probes_pace: whether the pace that they can have is being probed.
     :ivar pace_percent: that share for all filling runs, in percent.
     :ivar pace_set_at: monotonic time when that share last changed.
     :ivar acked: ends up to this number are on the log.
@@ -211,6 +213,8 @@
         self.pending_starts: dict[RunId, StartOrder] = {}
         self.pending_stops: set[RunId] = set()
         self.paces: dict[RunId, int] = {}
+        self.adopted_runs: set[RunId] = set()
+        self.probes_pace = False
         self.pace_percent = 100
         self.pace_set_at = float("-inf")
         self.acked = 0
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -146,6 +146,8 @@
             worker = self._state.workers[worker_name]
             run = fleet.RunId(group.tasks[index], group.run)
             worker.allocate(run, group.spec.resources)
+            if group.spec.fills:
+                worker.adopted_runs.add(run)
             if group.must_run_alone:
                 self._state.isolated_groups[group] = None
             if group.phase == job_state.ASSIGNED:
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -257,6 +257,7 @@
         """Slow filling tasks while serving tasks miss their targets."""
         filling_runs = []
         serving = []
+        adopted: dict[fleet.RunId, int] = {}
         for running_task in running:
             run = fleet.RunId(running_task.task, running_task.run)
             group = self._state.find_group(run)
@@ -264,11 +265,17 @@
                 continue
             if group.spec.fills:
                 filling_runs.append(run)
+                if run in worker.adopted_runs:
+                    requested = max(1, group.spec.cpu_milli)
+                    adopted[run] = 100 * running_task.usage // requested
             elif group.spec.target_ms:
                 target_ms = group.spec.target_ms
                 serving.append(
                     pacing.ServingTask(running_task.usage, target_ms)
                 )
+        worker.adopted_runs.clear()
+        if adopted:
+            pacing.adopt_pace(worker, adopted, serving, now)
         pacing.update_pace(worker, filling_runs, serving, now)
 
     def _update_group(
--- a/tests/pool.py
+++ b/tests/pool.py
@@ -75,6 +75,8 @@
     :ivar delays_orders: whether start orders are kept in ``delayed_starts``
         and stop orders are ignored.
     :ivar started: the start orders that were carried out.
+    :ivar paces: share of its CPU that a run may use, in percent, as it was
+        last ordered; runs that are left out have all of it.
     :ivar capacity: what it says of its room.
     :ivar data_centre: where it says that it is.
     """
@@ -103,6 +105,7 @@
         self.delays_orders = False
         self.delayed_starts: list[fleet.StartOrder] = []
         self.started: list[fleet.StartOrder] = []
+        self.paces: dict[fleet.RunId, int] = {}
         self.capacity = WORKER_CAPACITY
         self.data_centre = "hall"
         self._number = 0
@@ -158,6 +161,7 @@
         if self.delays_orders:
             self.delayed_starts += worker.pending_starts.values()
             return
+        self.paces |= worker.paces
         ordered = {*worker.pending_starts, *worker.pending_stops}
         for run in [*self.refused_runs]:
             if run not in ordered:
--- a/tests/test_advice_and_pace.py
+++ b/tests/test_advice_and_pace.py
@@ -73,9 +73,13 @@
     assert pacing.choose_percent(40, [pacing.ServingTask(130, 200)]) == 40
 
 
-def test_filling_task_is_paced_while_a_serving_task_is_too_slow(
+def slow_filling_task(
     pool: pools.Pool,
-) -> None:
+) -> tuple[pools.FakeWorker, fleet.RunId, fleet.RunId]:
+    """Have a filling task slowed down beside a serving one.
+
+    :return: their worker, the serving and the filling run.
+    """
     serving = pools.step(long_running=True, target_ms=200, gpus=0)
     filling = pools.step(long_running=True, fills=True, gpus=0)
     for fake in pool.workers[1:]:
@@ -89,14 +93,79 @@
     worker = pool.workers[0]
     _set_usage(worker, serving_run, 400)
     pool.advance_time(3.0)
-    tracked = pool.scheduler.workers[worker.name]
-    assert tracked.paces[filling_run] <= 25
+    assert worker.paces[filling_run] <= 25
+    return worker, serving_run, filling_run
+
+
+def test_filling_task_is_paced_while_a_serving_task_is_too_slow(
+    pool: pools.Pool,
+) -> None:
+    worker, serving_run, filling_run = slow_filling_task(pool)
     _set_usage(worker, serving_run, 40)
     pool.advance_time(12.0)
-    assert (
-        tracked.paces.get(filling_run, pacing.FULL_PERCENT)
-        == pacing.FULL_PERCENT
-    )
+    assert worker.paces[filling_run] == pacing.FULL_PERCENT
+
+
+# Guards against a task that stands still for good: a new owner took it for
+# one at full pace, and gave no order.
+@pytest.mark.parametrize("still_serves", [False, True])
+def test_new_owner_restores_the_pace_that_its_predecessor_lowered(
+    pool: pools.Pool, still_serves: bool
+) -> None:
+    worker, serving_run, filling_run = slow_filling_task(pool)
+    _set_usage(worker, serving_run, 40)
+    if not still_serves:
+        pool.cancel("serve")
+    pool.fail_over()
+    pool.advance_time(12.0)
+    assert worker.paces[filling_run] == pacing.FULL_PERCENT
+
+
+# Guards against a serving task that is disturbed again at each takeover: a
+# slowed task's pace is read from what it uses, and raised with care.
+def test_new_owner_goes_on_at_the_pace_that_reports_show(
+    pool: pools.Pool,
+) -> None:
+    worker, serving_run, filling_run = slow_filling_task(pool)
+    _set_usage(worker, serving_run, 120)
+    _set_usage(worker, filling_run, 2000)
+    pool.fail_over()
+    pool.settle()
+    assert worker.paces[filling_run] == 20
+    pool.advance_time(2.0)
+    assert worker.paces[filling_run] in (30, 40)
+    _set_usage(worker, serving_run, 180)
+    pool.advance_time(1.0)
+    _set_usage(worker, serving_run, 120)
+    percent = worker.paces[filling_run]
+    assert percent <= 20
+    pool.advance_time(6.0)
+    assert worker.paces[filling_run] == percent
+
+
+# Guards against a task that stays slow beside a serving one that is neither
+# slow nor fast: it was at full pace, and has just started or uses little.
+def test_new_owner_leaves_a_task_at_the_pace_that_does_no_harm(
+    pool: pools.Pool,
+) -> None:
+    worker, serving_run, filling_run = slow_filling_task(pool)
+    _set_usage(worker, serving_run, 40)
+    pool.advance_time(12.0)
+    _set_usage(worker, serving_run, 120)
+    _set_usage(worker, filling_run, 0)
+    pool.fail_over()
+    pool.advance_time(12.0)
+    assert worker.paces[filling_run] == pacing.FULL_PERCENT
+
+
+# Guards against a task that stays slow: the order for its full pace was
+# replaced by one that left it out, before its side had it.
+def test_full_pace_stays_ordered(pool: pools.Pool) -> None:
+    worker, serving_run, filling_run = slow_filling_task(pool)
+    _set_usage(worker, serving_run, 40)
+    pool.advance_time(12.0)
+    tracked = pool.scheduler.workers[worker.name]
+    assert tracked.paces == {filling_run: pacing.FULL_PERCENT}
 
 
 def test_filling_task_gets_no_cpu_of_a_full_worker(
