Jobs: a new owner avoids the workers that its predecessor avoided

Callers saw a job as failed that a sound worker would have done: after each takeover its task was started again on the worker where it had failed, until its attempts were used up. A task that had stood still went back to the same worker.

Cause: the workers that a group avoids were in no record; a new owner takes the best fit again. A stall was not recorded before the run had left.

Change: the record of a group names the newest eight. Older entries skip the field. A record that would be too long leaves them out before the checkpoints.

Evidence: both new tests of test_takeovers.py failed before and pass now.

--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -19,6 +19,8 @@
 _FULL_PERCENT = 100
 # Weight of one accelerator, in cores, where amounts of work are compared.
 CORES_PER_GPU = 8
+# Workers that a group avoids, as far as a record names them: the newest.
+_MAX_RECORDED_AVOIDED = 8
 # A checkpointing task loses at most this much of its run time by a stop.
 _CHECKPOINT_PERIOD_S = 0.5
 
@@ -44,7 +46,7 @@
     :ivar ready_at: monotonic time when it became ready to be placed.
     :ivar not_before: monotonic time before which it is not placed again.
     :ivar avoided_workers: workers on which it failed, stalled or was
-        refused.
+        refused, the newest last.
     :ivar tickets: the adviser's ticket for the current run, by worker, where
         the queue needs one.
     :ivar crashes: crashes of workers under its runs.
@@ -106,7 +108,7 @@
         self.started_at = 0.0
         self.ready_at = 0.0
         self.not_before = 0.0
-        self.avoided_workers: set[str] = set()
+        self.avoided_workers: dict[str, None] = {}
         self.tickets: dict[str, str] = {}
         self.crashes = model.NO_CRASHES
         self.persisted_checkpoint = ""
@@ -232,8 +234,14 @@
             self.checkpoint,
             tuple(self.assigned_workers) if any(self.assigned_workers) else (),
             self.crashes,
+            (*self.avoided_workers,)[-_MAX_RECORDED_AVOIDED:],
         )
 
+    def avoid_worker(self, worker: str) -> None:
+        """Avoid a worker from now on, where there is another."""
+        self.avoided_workers.pop(worker, None)
+        self.avoided_workers[worker] = None
+
     def mark_persisted(self) -> None:
         """Mark the newest checkpoint and progress as persisted."""
         self.persisted_checkpoint = self.checkpoint
@@ -246,6 +254,7 @@
         self.failures = row.failures
         self.checkpoint = self.persisted_checkpoint = row.saved
         self.crashes = row.crashes
+        self.avoided_workers = dict.fromkeys(row.avoided)
         if len(row.workers) == len(self.assigned_workers):
             self.assigned_workers = list(row.workers)
         self.ready_at = now
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -314,7 +314,7 @@
             if refused.reason == "ticket":
                 self._state.advice.drop_ticket(group.step_name, worker.name)
             elif refused.reason != fleet.EVACUATED:
-                group.avoided_workers.add(worker.name)
+                group.avoid_worker(worker.name)
             self._jobs.release_task(group, run, worker, refused.reason, now)
         self._state.needs_placement = True
 
@@ -371,7 +371,7 @@
                 self._jobs.finish_group(group, now, wall_ms)
         elif ended.outcome == "failed":
             group.has_failed = True
-            group.avoided_workers.add(worker.name)
+            group.avoid_worker(worker.name)
             if worker.record_failure(ended.task, self._state.policy, now):
                 text = f"Worker {worker.name} is set aside: it fails tasks."
                 self._state.queue_log_line(logs.Component.MEMBER, text)
@@ -527,7 +527,8 @@
             index = group.index_of(run.task)
             if group.is_stalled(index, worker.clock_ms, stall_timeout_ms):
                 group.stop_reason = "stalled"
-                group.avoided_workers.add(worker.name)
+                group.avoid_worker(worker.name)
+                self._state.dirty_jobs[group.job.name] = None
                 text = f"{run.task} stands still on {worker.name}; it moves."
                 self._state.queue_log_line(logs.Component.TASK, text)
                 if worker.quarantine(self._state.policy.probation_s, now):
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -61,6 +61,7 @@
     :ivar workers: worker of each task of an assignment; empty for a task
         that no longer holds resources.
     :ivar crashes: crashes of workers under it.
+    :ivar avoided: workers on which it is placed only if there is no other.
     """
 
     occurrence: int
@@ -72,6 +73,7 @@
     saved: str
     workers: tuple[str, ...]
     crashes: model.CrashHistory = model.NO_CRASHES
+    avoided: tuple[str, ...] = ()
 
 
 class Progress(NamedTuple):
@@ -159,11 +161,13 @@
     encoded = _encode(key, value)
     if keyed_log.measure_record(encoded) <= most_bytes:
         return encoded
-    encoded = _encode(key, large_progress.encode(value))
-    if keyed_log.measure_record(encoded) <= most_bytes:
-        return encoded
-    # The work since their start is done again; the rest must not be lost.
-    return _encode(key, large_progress.encode(value, keeps_saved=False))
+    # Without them work is tried again in vain, or is done again since its
+    # start; the rest must not be lost.
+    for left_out in ((), ("avoided",), ("avoided", "saved")):
+        encoded = _encode(key, large_progress.encode(value, left_out))
+        if keyed_log.measure_record(encoded) <= most_bytes:
+            break
+    return encoded
 
 
 def bound_progress_bytes(spec: model.JobSpec) -> int:
@@ -271,11 +275,13 @@
 
 
 def _encode_group(group: GroupProgress) -> list[Any]:
-    """Encode the progress of a group; mostly it has no crashes."""
-    if group.crashes == model.NO_CRASHES:
-        return list(group[:-1])
-    crashes = list(group.crashes)
-    return [*group[:-1], crashes if group.crashes.unconfirmed else crashes[:3]]
+    """Encode the progress of a group; mostly the last fields are empty."""
+    *row, crashes, avoided = group
+    if crashes != model.NO_CRASHES or avoided:
+        row.append(list(crashes if crashes.unconfirmed else crashes[:3]))
+    if avoided:
+        row.append(avoided)
+    return row
 
 
 def _decode_group(row: list[Any]) -> GroupProgress:
@@ -292,6 +298,8 @@
         hosts = row[8][3] if len(row[8]) > 3 else []
         _check_types(hosts, (str,) * len(hosts))
         crashes = model.CrashHistory(proven, suspicion, alone_ms, tuple(hosts))
+    avoided = row[9] if len(row) > 9 else []
+    _check_types(avoided, (str,) * len(avoided))
     return GroupProgress(
         occurrence,
         step,
@@ -302,6 +310,7 @@
         saved,
         tuple(workers),
         crashes,
+        tuple(avoided),
     )
 
 
--- a/kingcuplever/process/stored/large_progress.py
+++ b/kingcuplever/process/stored/large_progress.py
@@ -5,6 +5,7 @@
 worker once, and ranges of occurrences.
 """
 
+from collections.abc import Collection
 from typing import Any
 from typing import Final
 
@@ -15,6 +16,7 @@
 _GROUPS: Final = 2
 _SAVED: Final = 6
 _WORKERS: Final = 7
+_AVOIDED: Final = 9
 # Most bytes of a group without its checkpoint, of a worker's name, of a range
 # of occurrences, and of the rest.
 _GROUP_BYTES: Final = 64
@@ -36,14 +38,15 @@
     )
 
 
-def encode(value: list[Any], keeps_saved: bool = True) -> dict[str, Any]:
+def encode(value: list[Any], left_out: Collection[str] = ()) -> dict[str, Any]:
     """Convert a progress from its usual form.
 
-    :param keeps_saved: whether to keep the checkpoints of the groups.
+    :param left_out: what to leave out of the groups: ``saved``, their
+        checkpoints, or ``avoided``, the workers that they avoid.
     """
     names: dict[str, int] = {}
     groups = [
-        _encode_group(group, names, keeps_saved) for group in value[_GROUPS]
+        _encode_group(group, names, left_out) for group in value[_GROUPS]
     ]
     rest = [*value[:_FINISHED], *value[_GROUPS + 1 :]]
     return {
@@ -82,14 +85,17 @@
 
 
 def _encode_group(
-    group: list[Any], names: dict[str, int], keeps_saved: bool
+    group: list[Any], names: dict[str, int], left_out: Collection[str]
 ) -> list[Any]:
     """Convert a group; number the names of its workers."""
     short = [*group]
-    short[_WORKERS] = [
-        names.setdefault(name, len(names)) for name in group[_WORKERS]
-    ]
-    if not keeps_saved:
+    if "avoided" in left_out:
+        del short[_AVOIDED:]
+    for place in _list_name_places(short):
+        short[place] = [
+            names.setdefault(name, len(names)) for name in short[place]
+        ]
+    if "saved" in left_out:
         short[_SAVED] = ""
     return short
 
@@ -99,14 +105,20 @@
 
     :raises ValueError: if it names a worker that is not there.
     """
-    numbers = group[_WORKERS]
-    if any(not 0 <= number < len(names) for number in numbers):
-        raise ValueError(f"{numbers!r:.40} is no worker of the record")
     usual = [*group]
-    usual[_WORKERS] = [names[number] for number in numbers]
+    for place in _list_name_places(usual):
+        numbers = usual[place]
+        if any(not 0 <= number < len(names) for number in numbers):
+            raise ValueError(f"{numbers!r:.40} is no worker of the record")
+        usual[place] = [names[number] for number in numbers]
     return usual
 
 
+def _list_name_places(group: list[Any]) -> tuple[int, ...]:
+    """Return the places of a group that hold names of workers."""
+    return (_WORKERS, _AVOIDED) if len(group) > _AVOIDED else (_WORKERS,)
+
+
 def _encode_ranges(numbers: list[int]) -> list[list[int]]:
     """Return the ranges of rising numbers, each with its last one."""
     ranges: list[list[int]] = []
--- a/tests/test_append_bounds.py
+++ b/tests/test_append_bounds.py
@@ -246,6 +246,24 @@
     assert read == make_progress(2000, "")
 
 
+# Guards against work done again since its start: checkpoints were left out of a
+# record that only named too many workers to avoid.
+@pytest.mark.parametrize("tasks", [1, 2000])
+@pytest.mark.parametrize("name_bytes", [20, 200])
+def test_progress_keeps_checkpoints_before_avoided_workers(
+    tasks: int, name_bytes: int
+) -> None:
+    progress = make_progress(tasks, "0" * 16)
+    names = [f"{n:0{name_bytes}}@side-hall-{n % 100}" for n in range(tasks)]
+    groups = tuple(
+        group._replace(avoided=(name, names[0]))
+        for group, name in zip(progress.groups, names, strict=True)
+    )
+    read = encode_and_decode(progress._replace(groups=groups))
+    is_long = tasks * name_bytes > LIMITS.record_bytes
+    assert read == (progress if is_long else progress._replace(groups=groups))
+
+
 def test_bound_of_a_progress_holds() -> None:
     record = job_records.encode_progress(make_progress(2000, "0" * 400))
     spec = pools.spec(pools.step(tasks=2000))
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -73,3 +73,43 @@
     rounds.order_round(pool, 600.0)
     for step in rounds.run_cycle(pool):
         assert step.host == in_doubt.host
+
+
+# Guards against a job shown as failed that a sound worker would have done:
+# each owner started it again on the worker where it had failed before.
+def test_new_owner_avoids_the_worker_where_a_task_failed() -> None:
+    pool = pools.Pool(workers=2)
+    pool.submit(JOB, pools.spec(pools.step()))
+    pool.settle()
+    (failing,) = pool.running_tasks(JOB).values()
+    for _ in range(pools.NORMAL.most_attempts):
+        for run in [*failing.running]:
+            failing.end_run(run, "failed")
+        pool.exchange_reports()
+        pool.commit()
+        pool.fail_over()
+        pool.advance_time(1.0)
+    assert pool.get_job_state(JOB) == "running"
+    assert failing not in pool.running_tasks(JOB).values()
+
+
+# The same for a task that stands still: its owner was replaced before its run
+# had ended.
+def test_new_owner_avoids_the_worker_where_a_task_stalled() -> None:
+    pool = pools.Pool(workers=2)
+    pool.submit(JOB, pools.spec(pools.step(gpus=8)))
+    pool.settle()
+    ((run, stalling),) = pool.running_tasks(JOB).items()
+    stalling.stalled_runs.add(run)
+    for _ in range(100):
+        pool.exchange_reports()
+        pool.now += 0.1
+        pool.scheduler.tick(pool.now, pool.wall_ms)
+        if pool.scheduler.workers[stalling.name].pending_stops:
+            break
+    pool.commit()
+    pool.fail_over()
+    stalling.end_run(run, "stopped")
+    pool.advance_time(1.0)
+    assert pool.running_tasks(JOB)
+    assert stalling not in pool.running_tasks(JOB).values()
--- a/tests/test_worker_choice.py
+++ b/tests/test_worker_choice.py
@@ -100,7 +100,7 @@
     """Check that scores decide only among equally usable workers."""
     avoided, reserved, slow = (make_worker(number) for number in range(3))
     group = make_group(pools.step(gpus=8))
-    group.avoided_workers.add(avoided.name)
+    group.avoid_worker(avoided.name)
     chosen = choose(
         group,
         [avoided, reserved, slow],
