Jobs: each record has the evictions so far

Cause: the count changed without a record that was due.

Change: a run counts as evicted when it has ended by that, with the record of its end. One that ends as done before the stop is no eviction.

Evidence: test_each_record_has_the_evictions_so_far failed before and passes now.

--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -16,6 +16,9 @@
 ASSIGNED = "a"
 DONE = "d"
 
+# First word of the reason why a run is stopped in favour of other work.
+RECLAIMED = "reclaimed"
+
 _FULL_PERCENT = 100
 # Weight of one accelerator, in cores, where amounts of work are compared.
 CORES_PER_GPU = 8
@@ -162,6 +165,11 @@
         """
         return self.spec.image or f"{self.job.spec.queue}/{self.step}"
 
+    @property
+    def stop_cause(self) -> str:
+        """First word of the reason why its run is being stopped, if it is."""
+        return self.stop_reason.partition(" ")[0]
+
     @property
     def gpus(self) -> int:
         """Accelerators of all its tasks."""
@@ -319,6 +327,8 @@
     def end_run(self, not_before: float, now: float) -> None:
         """End the run; the group waits to be placed again."""
         self.failures = self.known_failures
+        if self.stop_cause == RECLAIMED:
+            self.job.evictions += 1
         self.phase = WAITING
         self.not_before = not_before
         self.ready_at = now
@@ -407,7 +417,8 @@
         been opened.
     :ivar ended_ms: wall-clock time of its end, or 0.
     :ivar first_placed_ms: wall-clock time of its first placement, or 0.
-    :ivar evictions: number of its groups' runs that were preempted.
+    :ivar evictions: number of its groups' runs that were preempted and have
+        ended, so that each record with such an end has the count.
     :ivar run_times: what is seen of run times on the queues, if anything is.
     :ivar dependents: the steps that come after each step.
     """
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -262,7 +262,7 @@
             group.assigned_workers[index] = ""
         self._record_release(group, worker, reason)
         if reason != "done" and group.phase == job_state.ASSIGNED:
-            cause = group.stop_reason.partition(" ")[0] or reason
+            cause = group.stop_cause or reason
             self._state.add_lost_work(cause, group.estimate_lost_work(now))
         job = group.job
         self._state.dirty_jobs[job.name] = None
--- a/kingcuplever/process/scheduling/preemptor.py
+++ b/kingcuplever/process/scheduling/preemptor.py
@@ -156,8 +156,9 @@
         self._report_preemption(group, plan, entitled)
         for victim in plan.victims:
             if not victim.stop_reason:
-                victim.stop_reason = f"reclaimed for {group.tasks[0]}"
-                victim.job.evictions += 1
+                victim.stop_reason = (
+                    f"{job_state.RECLAIMED} for {group.tasks[0]}"
+                )
                 self._state.order_group_stop(victim)
 
     def _report_preemption(
--- a/tests/test_append_bounds.py
+++ b/tests/test_append_bounds.py
@@ -246,8 +246,8 @@
     assert read == make_progress(2000, "")
 
 
-# Guards against work done again since its start: checkpoints were left out of a
-# record that only named too many workers to avoid.
+# Guards against work done again since its start: checkpoints were left out of
+# a record that only named too many workers to avoid.
 @pytest.mark.parametrize("tasks", [1, 2000])
 @pytest.mark.parametrize("name_bytes", [20, 200])
 def test_progress_keeps_checkpoints_before_avoided_workers(
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -55,6 +55,24 @@
     assert pool.get_job_state(JOB) == "failed"
 
 
+# Guards against evictions that operators are not shown: an owner counted one
+# when it ordered the stop, and no record was due before the run had ended.
+def test_each_record_has_the_evictions_so_far() -> None:
+    pool = pools.Pool(workers=1, guaranteed={"stable": 8})
+    step = pools.step(gpus=8, estimate_ms=60_000)
+    pool.submit(JOB, pools.spec(step, queue="batch", account="farrier"))
+    pool.settle()
+    pool.submit("urgent", pools.spec(step, queue="urgent"))
+    for cycle in range(40):
+        pool.workers[0].is_disconnected = cycle < 20
+        pool.settle(1)
+        progress = pool.table.jobs[JOB].progress
+        assert progress is not None
+        job = pool.scheduler.jobs[JOB]
+        assert progress.evictions == job.evictions
+    assert job.evictions == 1
+
+
 # Guards against more hosts down than a round allows: the former owner's call
 # for one of them is in doubt, or still to be sent after a suspension, and the
 # fencing token of a call for another host does not stop it.
