Jobs: a new owner stops the run of a task that is done

Workers went on with a run that nobody needs, to its end: a task was done by a former run that had been given up, and the owner was replaced before the stop of its current run had arrived.

Cause: the record shows the task as done with a worker, and a new owner ordered nothing for it, as if the stop had happened.

Change: whatever a record assigns to a task that is done is stopped.

Evidence: test_new_owner_stops_the_run_of_a_task_that_is_done failed before and passes now. For a gang this is harmless: one member's end as done ends all.

--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -150,7 +150,10 @@
                 worker.adopted_runs.add(run)
             if group.must_run_alone:
                 self._state.isolated_groups[group] = None
-            if group.phase == job_state.ASSIGNED:
+            if group.phase == job_state.DONE:
+                # Its task was done by a former run.
+                self._state.order_stop(worker, run)
+            else:
                 self._state.order_start(worker, group, run)
         if group.phase == job_state.ASSIGNED and "" in group.assigned_workers:
             group.stop_reason = "broken before the takeover"
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -131,3 +131,24 @@
     pool.advance_time(1.0)
     assert pool.running_tasks(JOB)
     assert stalling not in pool.running_tasks(JOB).values()
+
+
+# Guards against work that nobody needs: a task was done by a former run, and a
+# new owner let its current run go on.
+def test_new_owner_stops_the_run_of_a_task_that_is_done() -> None:
+    pool = pools.Pool(workers=2)
+    step = pools.step(gpus=8, estimate_ms=60_000)
+    pool.submit(JOB, pools.spec(step, pools.step(after=(0,))))
+    pool.settle()
+    ((run, former),) = pool.running_tasks(JOB).items()
+    former.is_disconnected = True
+    pool.advance_time(pools.TIMING.lost_after_s + 1)
+    (current,) = [fake for fake in pool.workers if fake is not former]
+    assert current.running
+    former.end_run(run, "done")
+    former.is_disconnected, current.is_disconnected = False, True
+    pool.settle()
+    pool.fail_over()
+    current.is_disconnected = False
+    pool.advance_time(1.0)
+    assert not any(row.task == run.task for row in current.running)
