Advice: a new owner requests tickets before it orders adopted starts

Workers rejected starts for want of a ticket (priced): an owner had recorded a placement on a queue with advice and was replaced before its order arrived; its successor ordered the start without the ticket, which only the former owner had. A worker that checks tickets before runs would reject one that it already runs.

Cause: tickets are in no record, and the restored run was ordered like any other.

Change: such starts wait until their workers list all tasks without them, and for a ticket; where the adviser does not allow the worker any more, the run is stopped and placed anew.

Evidence: two tests of test_takeovers.py failed before (a start without a ticket) and pass now. A ticket is not recorded: it is valid for seconds only.

--- a/kingcuplever/process/scheduling/advice.py
+++ b/kingcuplever/process/scheduling/advice.py
@@ -79,6 +79,17 @@
         if unknown and step != self._step_in_flight:
             self._queued[step] = tuple(unknown[:_MAX_WORKERS_PER_REQUEST])
 
+    def extend_request(
+        self, step: str, workers: list[str], now: float
+    ) -> None:
+        """Queue a request for workers beside those that are queued already."""
+        queued = self._queued.get(step, ())
+        self.queue_request(step, [*dict.fromkeys([*workers, *queued])], now)
+
+    def is_refused(self, step: str, worker: str) -> bool:
+        """Return whether a worker may not run a step."""
+        return worker in self._refused.get(step, ())
+
     def next_request(self) -> AdviceRequest | None:
         """Return the next queued request, unless one is in flight."""
         if self._step_in_flight or not self._queued:
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -89,6 +89,7 @@
         for group in job.groups():
             self._state.ready_queue.discard(group)
             self._state.isolated_groups.pop(group, None)
+            self._state.unticketed_starts.pop(group, None)
             for task, worker_name in zip(
                 group.tasks, group.assigned_workers, strict=True
             ):
@@ -136,6 +137,7 @@
         if group.phase == job_state.ASSIGNED and group.has_no_worker:
             group.phase = job_state.WAITING
         self._state.crash_proofs.restore(group, now)
+        queue = self._state.queue_policy_of(group.job)
         for index, worker_name in enumerate(group.assigned_workers):
             if not worker_name:
                 continue
@@ -153,7 +155,9 @@
             if group.phase == job_state.DONE:
                 # Its task was done by a former run.
                 self._state.order_stop(worker, run)
-            else:
+            elif queue.needs_advice:
+                self._state.unticketed_starts[group] = None
+            elif group.phase == job_state.ASSIGNED:
                 self._state.order_start(worker, group, run)
         if group.phase == job_state.ASSIGNED and "" in group.assigned_workers:
             group.stop_reason = "broken before the takeover"
--- a/kingcuplever/process/scheduling/placer.py
+++ b/kingcuplever/process/scheduling/placer.py
@@ -24,6 +24,7 @@
 from kingcuplever.process.scheduling import scheduler_state
 from kingcuplever.process.scheduling import scheduling_cycle
 from kingcuplever.process.scheduling import snapshot
+from kingcuplever.process.scheduling import ticketed_starts
 from kingcuplever.process.scheduling import worker_filter
 
 _HOUR_S: Final = 3600.0
@@ -58,6 +59,8 @@
                 with contain("placement in own cells", first.step_name):
                     self._place_in_own_cells(groups, cycle)
         self._place_in_order(steps, cycle, usable)
+        with contain("adopted starts", "all groups"):
+            ticketed_starts.order_ticketed_starts(self._state, now)
 
     def _place_in_order(
         self,
--- a/kingcuplever/process/scheduling/scheduler_state.py
+++ b/kingcuplever/process/scheduling/scheduler_state.py
@@ -76,6 +76,8 @@
     :ivar deferred: actions that wait for the commit of the next batch.
     :ivar needs_placement: whether something changed that may allow another
         placement.
+    :ivar unticketed_starts: adopted groups whose runs start only with tickets
+        that are to be requested.
     :ivar advice: workers that may run a step, for queues that need advice.
     :ivar log_lines: log lines that are not written yet.
     :ivar contained_errors: contained errors that are not reported yet.
@@ -115,6 +117,7 @@
         self.purged_jobs: list[str] = []
         self.deferred = DeferredActions()
         self.needs_placement = True
+        self.unticketed_starts: dict[job_state.Group, None] = {}
         self.advice = advice.AdviceCache()
         self.log_lines: list[LogLine] = []
         self.contained_errors: list[containment.ContainedError] = []
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -1,5 +1,6 @@
 """What a new owner makes of work that its predecessor had begun to change."""
 
+from kingcuplever.process.scheduling import advice
 from kingcuplever.process.stored import maintenance_records
 from tests import pool as pools
 from tests import test_maintenance as rounds
@@ -133,6 +134,56 @@
     assert stalling not in pool.running_tasks(JOB).values()
 
 
+def place_advised_task(pool: pools.Pool) -> set[str]:
+    """Record a placement, and replace the owner before it orders the start.
+
+    :return: the workers that the adviser allows.
+    """
+    allowed = {fake.name for fake in pool.workers}
+    pool.submit(JOB, pools.spec(pools.step(), queue="advised"))
+    pool.settle()
+    request = pool.scheduler.next_advice_request()
+    assert request is not None
+    tickets = dict.fromkeys(request.workers, "ticket")
+    reply = advice.AdviceReply(tickets, 5.0)
+    pool.scheduler.apply_advice(request, reply, pool.now)
+    pool.scheduler.tick(pool.now, pool.wall_ms)
+    batch = pool.scheduler.take_record_batch()
+    assert batch is not None
+    pool.append([*batch.records])
+    pool.fail_over()
+    return allowed
+
+
+# Guards against a start that its worker rejects: a new owner ordered it
+# without the ticket that only its predecessor had.
+def test_new_owner_starts_an_advised_task_with_a_ticket() -> None:
+    pool = pools.Pool()
+    allowed = place_advised_task(pool)
+    pool.settle(10)
+    assert not any(fake.started for fake in pool.workers)
+    assert pool.answer_advice_requests(allowed, 5.0) == 1
+    ((run, worker),) = pool.running_tasks(JOB).items()
+    (order,) = worker.started
+    assert (run.run, order.ticket) == (1, f"ticket of {worker.name}")
+    assert pool.answer_advice_requests(allowed, 5.0) == 0
+
+
+# Guards against a task that waits for good for a ticket of a worker that the
+# adviser allows no more.
+def test_new_owner_gives_up_an_advised_start_that_is_not_allowed() -> None:
+    pool = pools.Pool()
+    allowed = place_advised_task(pool)
+    (placed,) = pool.scheduler.jobs[JOB].groups()
+    former = placed.assigned_workers[0]
+    pool.settle()
+    for _ in range(3):
+        pool.answer_advice_requests(allowed - {former}, 60.0)
+        pool.advance_time(1.0)
+    ((run, worker),) = pool.running_tasks(JOB).items()
+    assert (run.run, worker.name != former) == (2, True)
+
+
 # Guards against work that nobody needs: a task was done by a former run, and a
 # new owner let its current run go on.
 def test_new_owner_stops_the_run_of_a_task_that_is_done() -> None:
