Workers: a new owner keeps quarantined workers aside

Callers' tasks used up attempts on workers that were known to fail all they start: a new owner took them for sound and placed new work there first; operators were shown them as up.

Change: a quarantine is a record, q:WORKER, written with the end or the stop that led to it and dropped after its end. Older entries skip the key. What counts towards the next quarantine is still learned anew, from at most worker_failures ends.

Evidence: test_new_owner_keeps_failing_workers_in_quarantine failed before and passes now.

--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -33,6 +33,7 @@
 from kingcuplever.process.stored import host_records
 from kingcuplever.process.stored import job_records
 from kingcuplever.process.stored import job_table
+from kingcuplever.process.stored import quarantine_records
 from kingcuplever.process.stored import silence_records
 
 # Interval of the scan for timeouts, due occurrences and expired jobs.
@@ -205,6 +206,7 @@
         for name, job in stored:
             self._jobs.load_job(name, job, now, wall_ms)
         self._workers.restore_silences(table.silences)
+        self._state.quarantines.restore(table.quarantines)
         contain = self._state.barrier.contain
         with contain("restore", "maintenance rounds"):
             self.maintenance.restore(table.rounds)
@@ -326,6 +328,7 @@
                 silence = silence_records.Silence(name, silent_ms)
                 records.append(silence_records.encode_silence(silence))
         records += self._take_host_records()
+        records += self._take_quarantine_records()
         self._state.dirty_jobs.clear()
         self._state.purged_jobs.clear()
         self._state.deferred = scheduler_state.DeferredActions()
@@ -400,6 +403,23 @@
             for host, estimate in changes
         ]
 
+    def _take_quarantine_records(self) -> list[keyed_log.KeyedRecord]:
+        """Return the records of quarantines that have begun or ended.
+
+        One begins with the end or the stop of a run, which is recorded.
+        """
+        changes = self._state.quarantines.take_changes()
+        return [
+            (
+                quarantine_records.make_tombstone(worker)
+                if left_ms is None
+                else quarantine_records.encode_quarantine(
+                    quarantine_records.Quarantine(worker, left_ms)
+                )
+            )
+            for worker, left_ms in changes.items()
+        ]
+
     def _rebind_cells(self, now: float) -> None:
         """Bind cells for the guarantees, and record bindings that changed."""
         known_accounts = self._state.accounts
--- a/kingcuplever/process/scheduling/scheduler_state.py
+++ b/kingcuplever/process/scheduling/scheduler_state.py
@@ -16,6 +16,7 @@
 from kingcuplever.process.scheduling import interference
 from kingcuplever.process.scheduling import job_state
 from kingcuplever.process.scheduling import model
+from kingcuplever.process.scheduling import quarantines
 from kingcuplever.process.scheduling import ready_queue
 from kingcuplever.process.scheduling import runtime_estimate
 from kingcuplever.process.scheduling import scoring
@@ -128,6 +129,7 @@
         self.crash_counts: dict[str, int] = {}
         self.crash_proofs = crash_proofs.CrashProofs()
         self.silences = silences.Silences()
+        self.quarantines = quarantines.Quarantines()
         self.permitted_until = 0.0
         self.accounts = accounts.Accounts()
         self.headroom = headroom.Headroom()
--- a/kingcuplever/process/scheduling/silences.py
+++ b/kingcuplever/process/scheduling/silences.py
@@ -39,8 +39,11 @@
         """Record the silence of a worker with tasks once it is long."""
         silent_s = now - worker.last_report_at
         is_long = silent_s > _MIN_RECORDED_S and bool(worker.allocations)
-        fits = len(worker.name.encode()) <= _MAX_NAME_BYTES
-        if is_long and fits and worker.name not in self._recorded:
+        if (
+            is_long
+            and fits_key(worker.name)
+            and worker.name not in self._recorded
+        ):
             self._recorded.add(worker.name)
             self._changes[worker.name] = int(silent_s * 1000)
 
@@ -59,3 +62,8 @@
         """Record that the log holds no silence of a worker any more."""
         self._recorded.discard(worker)
         self._dropping.discard(worker)
+
+
+def fits_key(worker: str) -> bool:
+    """Return whether a worker's name fits into the key of a record."""
+    return len(worker.encode()) <= _MAX_NAME_BYTES
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -65,6 +65,9 @@
             self._state.workers[status.worker] = worker
         self._state.silences.end(worker.name)
         if not worker.has_reported:
+            worker.quarantined_until = self._state.quarantines.get_end(
+                worker.name
+            )
             self._state.queue_log_line(
                 logs.Component.MEMBER, f"Worker {worker.name} is here."
             )
@@ -375,6 +378,7 @@
             if worker.record_failure(ended.task, self._state.policy, now):
                 text = f"Worker {worker.name} is set aside: it fails tasks."
                 self._state.queue_log_line(logs.Component.MEMBER, text)
+            self._state.quarantines.record(worker, now)
         self._jobs.release_task(group, run, worker, ended.outcome, now)
         self._jobs.enforce_attempt_limit(group, wall_ms)
 
@@ -487,6 +491,7 @@
         with contain("departures", "all workers"):
             workers = [*self._state.workers.values()]
             self._state.departures.observe(workers, now)
+        self._state.quarantines.check(now)
         self._drain_workers(now)
 
     def _check_worker(self, worker: fleet.Worker, now: float) -> None:
@@ -534,6 +539,7 @@
                 if worker.quarantine(self._state.policy.probation_s, now):
                     text = f"Worker {worker.name} is set aside: it stalls."
                     self._state.queue_log_line(logs.Component.MEMBER, text)
+                self._state.quarantines.record(worker, now)
                 self._state.order_group_stop(group)
 
     def _drain_workers(self, now: float) -> None:
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -4,8 +4,8 @@
 ``j:JOB`` its progress, and ``owner`` the owner of the scheduling.  Submission
 and progress have separate keys, so that a repeated submission can't overwrite
 the progress.  Values are compact JSON.  The topic also holds the records of
-:mod:`host_records`, :mod:`intent_records`, :mod:`maintenance_records` and
-:mod:`silence_records`.
+:mod:`host_records`, :mod:`intent_records`, :mod:`maintenance_records`,
+:mod:`quarantine_records` and :mod:`silence_records`.
 """
 
 import json
@@ -23,6 +23,7 @@
 from kingcuplever.process.stored import intent_records
 from kingcuplever.process.stored import large_progress
 from kingcuplever.process.stored import maintenance_records
+from kingcuplever.process.stored import quarantine_records
 from kingcuplever.process.stored import silence_records
 
 TOPIC: Final = "jobs"
@@ -126,6 +127,7 @@
     | Tombstone
     | host_records.HostSpeed
     | maintenance_rounds.RoundProgress
+    | quarantine_records.Quarantine
     | silence_records.Silence
     | intent_records.Record
 )
@@ -254,6 +256,8 @@
         return maintenance_records.decode_record(key, document)
     if silence_records.is_silence_key(key):
         return silence_records.decode_record(key, document)
+    if quarantine_records.is_quarantine_key(key):
+        return quarantine_records.decode_record(key, document)
     if host_records.is_host_key(key):
         return host_records.decode_record(key, document)
     if intent_records.is_intent_key(key):
--- a/kingcuplever/process/stored/job_table.py
+++ b/kingcuplever/process/stored/job_table.py
@@ -18,6 +18,7 @@
 from kingcuplever.process.stored import intent_records
 from kingcuplever.process.stored import intent_table
 from kingcuplever.process.stored import job_records
+from kingcuplever.process.stored import quarantine_records
 from kingcuplever.process.stored import silence_records
 
 
@@ -70,6 +71,8 @@
         them was read.
     :ivar silences: monotonic time, in seconds, since when the side of a
         worker has surely had no permission to act, by worker.
+    :ivar quarantines: monotonic time, in seconds, when the quarantine of a
+        worker ends, by worker.
     :ivar intents: the operators' state.
     :ivar rounds: progress of maintenance rounds by number.
     :ivar host_speeds: what an owner has learned of hosts, by host.
@@ -90,6 +93,7 @@
         self._read_clock = read_clock or _read_loop_clock
         self.owner_recorded_at = float("-inf")
         self.silences: dict[str, float] = {}
+        self.quarantines: dict[str, float] = {}
         self.jobs: dict[str, StoredJob] = {}
         self.owner: job_records.Owner | None = None
         self.owner_changed = trio.Event()
@@ -162,6 +166,10 @@
             silent_s = record.silent_ms / 1000
             self.silences[record.worker] = self.owner_recorded_at - silent_s
             return
+        if isinstance(record, quarantine_records.Quarantine):
+            left_s = record.left_ms / 1000
+            self.quarantines[record.worker] = self.owner_recorded_at + left_s
+            return
         if isinstance(record, maintenance_rounds.RoundProgress):
             self.rounds[record.number] = record
             return
@@ -208,6 +216,7 @@
         self.host_speeds.pop(host_records.parse_host(key), None)
         self.intents.drop_plan(intent_records.parse_plan_name(key))
         self.silences.pop(silence_records.parse_worker(key), None)
+        self.quarantines.pop(quarantine_records.parse_worker(key), None)
 
 
 def _read_loop_clock() -> float:
--- a/kingcuplever/process/stored/silence_records.py
+++ b/kingcuplever/process/stored/silence_records.py
@@ -12,6 +12,7 @@
 
 from kingcuplever.connection import keyed_log
 from kingcuplever import plain
+from kingcuplever.process.scheduling import model
 
 _SILENCE: Final = "w:"
 
@@ -57,7 +58,15 @@
 
     :raises plain.ValidationError: if it is no time in milliseconds.
     """
-    if type(document) is not int or document < 0:
+    return Silence(parse_worker(key), check_ms(key, document))
+
+
+def check_ms(key: str, document: Any) -> int:
+    """Return a value that is a time in milliseconds.
+
+    :raises plain.ValidationError: if it is none.
+    """
+    if type(document) is not int or not 0 <= document <= model.MAX_NUMBER:
         fault = plain.Fault(key, repr(document)[:60], "a time in milliseconds")
         raise plain.ValidationError([fault])
-    return Silence(parse_worker(key), document)
+    return document
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -203,3 +203,42 @@
     current.is_disconnected = False
     pool.advance_time(1.0)
     assert not any(row.task == run.task for row in current.running)
+
+
+def fail_tasks_of_one_worker(pool: pools.Pool) -> pools.FakeWorker:
+    """Let a worker fail tasks until it is quarantined; return it."""
+    failing = pool.workers[0]
+    pool.submit(JOB, pools.spec(pools.step(tasks=4, gpus=2)))
+    pool.settle()
+    for run in [*failing.running]:
+        failing.end_run(run, "failed")
+    pool.exchange_reports()
+    pool.commit()
+    assert pool.scheduler.workers[failing.name].quarantined_until > pool.now
+    return failing
+
+
+# Guards against a job that uses up its attempts on workers that are known to
+# fail all tasks: a new owner took them for sound.
+def test_new_owner_keeps_failing_workers_in_quarantine() -> None:
+    pool = pools.Pool(workers=2)
+    failing = fail_tasks_of_one_worker(pool)
+    pool.fail_over()
+    pool.submit("new", pools.spec(pools.step(tasks=4)))
+    pool.advance_time(2.0)
+    assert not failing.running
+    pool.advance_time(pool.make_policy().probation_s)
+    assert failing.running
+    assert pool.table.quarantines == {}
+
+
+def test_quarantine_of_a_worker_that_is_gone_is_dropped() -> None:
+    pool = pools.Pool(workers=2)
+    failing = fail_tasks_of_one_worker(pool)
+    pool.end_worker(failing, crashed=True)
+    pool.fail_over()
+    assert pool.table.quarantines
+    pool.advance_time(pool.make_policy().probation_s + 1.0)
+    pool.submit("new", pools.spec(pools.step()))
+    pool.advance_time(1.0)
+    assert pool.table.quarantines == {}
