Jobs: a wait goes on under a new owner

Callers saw a task that lasts stay down: after a crash it waits four seconds or more for a worker of its own before it joins others, and each takeover let that wait begin anew. The same for the wait for workers near a task's data, and for a reservation.

Cause: when a group's last run had ended was in no record, and a new owner counted from its own start.

Change: the record has that time (wall clock; of what a new owner reads, at most a minute counts). It does not count before the workers have reported, since the one that is waited for may report next. Older entries skip the field.

Evidence: test_wait_of_a_suspect_goes_on_under_a_new_owner failed before and passes now; the test of the warm-up fails without that condition. Groups that were never placed have no record and wait anew.

--- a/kingcuplever/process/scheduling/isolation.py
+++ b/kingcuplever/process/scheduling/isolation.py
@@ -67,7 +67,7 @@
     ) -> list[fleet.Worker]:
         """Return the workers that a group under suspicion may use now."""
         open_workers = [w for w in eligible if w.name not in self.held]
-        waited_s = self._now - group.ready_at
+        waited_s = self._state.get_wait_s(group, self._now)
         if waited_s <= self._compute_max_wait_s(group, open_workers):
             return [worker for worker in open_workers if worker.is_idle]
         return [w for w in open_workers if self._has_only_settled_runs(w)]
--- a/kingcuplever/process/scheduling/job_state.py
+++ b/kingcuplever/process/scheduling/job_state.py
@@ -22,6 +22,8 @@
 _FULL_PERCENT = 100
 # Weight of one accelerator, in cores, where amounts of work are compared.
 CORES_PER_GPU = 8
+# Longest wait before a takeover that counts after it.
+_MAX_RESTORED_WAIT_S = 60.0
 # Workers that a group avoids, as far as a record names them: the newest.
 _MAX_RECORDED_AVOIDED = 8
 # A checkpointing task loses at most this much of its run time by a stop.
@@ -47,6 +49,7 @@
         the first report that lists it; 0 until then, also for a run of the
         previous owner.
     :ivar ready_at: monotonic time when it became ready to be placed.
+    :ivar ready_ms: wall-clock time when its last run ended, or 0.
     :ivar not_before: monotonic time before which it is not placed again.
     :ivar avoided_workers: workers on which it failed, stalled or was
         refused, the newest last.
@@ -76,6 +79,7 @@
         "progressed_ms",
         "started_at",
         "ready_at",
+        "ready_ms",
         "not_before",
         "avoided_workers",
         "tickets",
@@ -110,6 +114,7 @@
         self.progressed_ms = [0] * count
         self.started_at = 0.0
         self.ready_at = 0.0
+        self.ready_ms = 0
         self.not_before = 0.0
         self.avoided_workers: dict[str, None] = {}
         self.tickets: dict[str, str] = {}
@@ -243,6 +248,7 @@
             tuple(self.assigned_workers) if any(self.assigned_workers) else (),
             self.crashes,
             (*self.avoided_workers,)[-_MAX_RECORDED_AVOIDED:],
+            self.ready_ms if self.phase == WAITING else 0,
         )
 
     def avoid_worker(self, worker: str) -> None:
@@ -255,7 +261,9 @@
         self.persisted_checkpoint = self.checkpoint
         self.persisted_percent = self.percent
 
-    def restore(self, row: job_records.GroupProgress, now: float) -> None:
+    def restore(
+        self, row: job_records.GroupProgress, now: float, wall_ms: int
+    ) -> None:
         """Restore the state from a record."""
         self.run = row.run
         self.phase = row.phase
@@ -266,6 +274,11 @@
         if len(row.workers) == len(self.assigned_workers):
             self.assigned_workers = list(row.workers)
         self.ready_at = now
+        if row.phase == WAITING and row.ready_ms:
+            # Clocks of owners may differ.
+            waited_s = (wall_ms - row.ready_ms) / 1000
+            self.ready_at -= min(max(0.0, waited_s), _MAX_RESTORED_WAIT_S)
+            self.ready_ms = row.ready_ms
 
     def update_progress(self, index: int, percent: int, clock_ms: int) -> None:
         """Apply the progress of a member that its worker reports.
@@ -324,7 +337,7 @@
         counts_now = self.has_failed and not self.spec.long_running
         return self.failures + (1 if counts_now else 0)
 
-    def end_run(self, not_before: float, now: float) -> None:
+    def end_run(self, not_before: float, now: float, wall_ms: int) -> None:
         """End the run; the group waits to be placed again."""
         self.failures = self.known_failures
         if self.stop_cause == RECLAIMED:
@@ -332,6 +345,7 @@
         self.phase = WAITING
         self.not_before = not_before
         self.ready_at = now
+        self.ready_ms = wall_ms
         self._reset_run()
 
     def _reset_run(self) -> None:
@@ -522,7 +536,9 @@
             self.evictions,
         )
 
-    def restore(self, record: job_records.Progress, now: float) -> None:
+    def restore(
+        self, record: job_records.Progress, now: float, wall_ms: int
+    ) -> None:
         """Restore the state from a record."""
         self.state = record.state
         self.finished_occurrences = {
@@ -542,7 +558,7 @@
             if group is None:
                 continue
             was_done = group.phase == DONE
-            group.restore(row, now)
+            group.restore(row, now, wall_ms)
             if group.phase == DONE and not was_done:
                 occurrence.unfinished[row.step] -= 1
         for occurrence in self.open_occurrences.values():
--- a/kingcuplever/process/scheduling/job_tracker.py
+++ b/kingcuplever/process/scheduling/job_tracker.py
@@ -60,7 +60,7 @@
         job = job_state.Job(name, spec, stored.submit_offset)
         job.run_times = self._state.run_times
         if stored.progress is not None:
-            job.restore(stored.progress, now)
+            job.restore(stored.progress, now, wall_ms)
         if job.has_ended and job.has_no_worker:
             self._state.ended_jobs[name] = job.ended_ms
             return
@@ -218,7 +218,7 @@
                     group.phase == job_state.WAITING
                     and group not in self._state.ready_queue
                 ):
-                    group.ready_at = now
+                    group.ready_at = group.ready_at or now
                     self._state.ready_queue.add(group)
                     self._state.needs_placement = True
 
@@ -283,7 +283,7 @@
                 self._state.order_group_stop(group)
             return
         pause_s = 0.0 if reason in _IMMEDIATE_RETRY else _RETRY_BACKOFF_S
-        group.end_run(now + pause_s, now)
+        group.end_run(now + pause_s, now, self._state.wall_ms)
         self._state.crash_proofs.hold(group, now)
         if job.has_ended:
             self._close_if_idle(job)
--- a/kingcuplever/process/scheduling/placement.py
+++ b/kingcuplever/process/scheduling/placement.py
@@ -65,13 +65,13 @@
     return bool(spec.data_rack) or (spec.gang and spec.same_rack)
 
 
-def is_locality_wait_over(group: job_state.Group, now: float) -> bool:
+def is_locality_wait_over(group: job_state.Group, waited_s: float) -> bool:
     """Return whether a group has waited long enough for a local placement.
 
     Work that is slow in the wrong rack waits as long as one run takes in
     the right one.
     """
-    return now - group.ready_at > group.spec.estimate_ms / 1000
+    return waited_s > group.spec.estimate_ms / 1000
 
 
 def can_be_local(
--- a/kingcuplever/process/scheduling/reserver.py
+++ b/kingcuplever/process/scheduling/reserver.py
@@ -59,7 +59,7 @@
         if group in self._preemptor:
             return ""
         urgent = self._state.queue_policy_of(group.job).priority == 0
-        waited_s = cycle.now - group.ready_at
+        waited_s = self._state.get_wait_s(group, cycle.now)
         may_wait = waited_s <= self._state.policy.starvation_s
         if may_wait and (not urgent or cycle.is_mostly_free):
             return "not enough free capacity for all its tasks"
--- a/kingcuplever/process/scheduling/scheduler_state.py
+++ b/kingcuplever/process/scheduling/scheduler_state.py
@@ -101,6 +101,7 @@
     :ivar scorers: what orders the workers for a placement; their scores
         are added up.
     :ivar wall_ms: wall-clock time of the current decision.
+    :ivar warmup_began_at: monotonic time when the warm-up began.
     :ivar warmup_ends_at: monotonic time when the warm-up ends at the latest.
     :ivar newest_worker_at: monotonic time of the newest worker's first
         report.
@@ -142,11 +143,13 @@
             stability.StabilityScorer(self.departures)
         ]
         self.wall_ms = 0
+        self.warmup_began_at = 0.0
         self.warmup_ends_at = 0.0
         self.newest_worker_at = float("inf")
 
     def start_warmup(self, now: float) -> None:
         """Start the warm-up, in which the workers report to a new owner."""
+        self.warmup_began_at = now
         self.warmup_ends_at = now + _WARMUP_S
 
     def is_warmed_up(self, now: float) -> bool:
@@ -156,6 +159,16 @@
             or now - self.newest_worker_at >= _WARMUP_QUIET_S
         )
 
+    def get_wait_s(self, group: job_state.Group, now: float) -> float:
+        """Return how long a group has waited to be placed.
+
+        A wait under a former owner does not count until the workers are
+        known: a better one may report next.
+        """
+        if self.is_warmed_up(now):
+            return now - group.ready_at
+        return now - max(group.ready_at, self.warmup_began_at)
+
     def queue_policy_of(self, job: job_state.Job) -> model.QueuePolicy:
         """Return the policy of a job's queue.
 
--- a/kingcuplever/process/scheduling/scheduling_cycle.py
+++ b/kingcuplever/process/scheduling/scheduling_cycle.py
@@ -67,9 +67,10 @@
 
         A job of which nothing runs is not kept waiting beside idle workers.
         """
-        if placement.is_locality_wait_over(group, self.now):
+        waited_s = self._state.get_wait_s(group, self.now)
+        if placement.is_locality_wait_over(group, waited_s):
             return True
-        if self.now - group.ready_at <= _MAX_IDLE_WAIT_S:
+        if waited_s <= _MAX_IDLE_WAIT_S:
             return False
         return self.is_mostly_free and not self._is_at_work(group.job)
 
--- a/kingcuplever/process/stored/job_records.py
+++ b/kingcuplever/process/stored/job_records.py
@@ -63,6 +63,8 @@
         that no longer holds resources.
     :ivar crashes: crashes of workers under it.
     :ivar avoided: workers on which it is placed only if there is no other.
+    :ivar ready_ms: wall-clock time when its last run ended, if it waits for
+        another one; else 0.
     """
 
     occurrence: int
@@ -75,6 +77,7 @@
     workers: tuple[str, ...]
     crashes: model.CrashHistory = model.NO_CRASHES
     avoided: tuple[str, ...] = ()
+    ready_ms: int = 0
 
 
 class Progress(NamedTuple):
@@ -280,11 +283,13 @@
 
 def _encode_group(group: GroupProgress) -> list[Any]:
     """Encode the progress of a group; mostly the last fields are empty."""
-    *row, crashes, avoided = group
-    if crashes != model.NO_CRASHES or avoided:
+    *row, crashes, avoided, ready_ms = group
+    if crashes != model.NO_CRASHES or avoided or ready_ms:
         row.append(list(crashes if crashes.unconfirmed else crashes[:3]))
-    if avoided:
+    if avoided or ready_ms:
         row.append(avoided)
+    if ready_ms:
+        row.append(ready_ms)
     return row
 
 
@@ -304,6 +309,7 @@
         crashes = model.CrashHistory(proven, suspicion, alone_ms, tuple(hosts))
     avoided = row[9] if len(row) > 9 else []
     _check_types(avoided, (str,) * len(avoided))
+    (ready_ms,) = _check_types(row[10:11] or [0], (int,))
     return GroupProgress(
         occurrence,
         step,
@@ -315,6 +321,7 @@
         tuple(workers),
         crashes,
         tuple(avoided),
+        ready_ms,
     )
 
 
--- a/kingcuplever/process/stored/large_progress.py
+++ b/kingcuplever/process/stored/large_progress.py
@@ -89,8 +89,8 @@
 ) -> list[Any]:
     """Convert a group; number the names of its workers."""
     short = [*group]
-    if "avoided" in left_out:
-        del short[_AVOIDED:]
+    if "avoided" in left_out and len(short) > _AVOIDED:
+        short[_AVOIDED] = []
     for place in _list_name_places(short):
         short[place] = [
             names.setdefault(name, len(names)) for name in short[place]
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -1,6 +1,7 @@
 """What a new owner makes of work that its predecessor had begun to change."""
 
 from kingcuplever.process.scheduling import advice
+from kingcuplever.process.scheduling import model
 from kingcuplever.process.stored import maintenance_records
 from tests import pool as pools
 from tests import test_maintenance as rounds
@@ -242,3 +243,65 @@
     pool.submit("new", pools.spec(pools.step()))
     pool.advance_time(1.0)
     assert pool.table.quarantines == {}
+
+
+def submit_to(
+    pool: pools.Pool,
+    names: set[str],
+    job: str,
+    step: model.StepSpec,
+) -> None:
+    """Submit a job of one step while only some workers take new work."""
+    workers = pool.scheduler.workers.values()
+    for worker in workers:
+        worker.cordoned = worker.name not in names
+    pool.submit(job, pools.spec(step))
+    pool.settle()
+    for worker in workers:
+        worker.cordoned = False
+    assert {fake.name for fake in pool.running_tasks(job).values()} == names
+
+
+# Guards against a task that lasts and stays down: it waits for a while for a
+# worker of its own, and each new owner let that while begin anew.
+def test_wait_of_a_suspect_goes_on_under_a_new_owner() -> None:
+    pool = pools.Pool(workers=3)
+    first, *others = [fake.name for fake in pool.workers]
+    lasting = pools.step(gpus=4, long_running=True)
+    submit_to(pool, {first}, JOB, lasting)
+    more = lasting._replace(tasks=2, most_per_worker=1)
+    submit_to(pool, {*others}, "others", more)
+    pool.end_worker(pool.workers[0], crashed=True).is_disconnected = True
+    pool.settle()
+    assert not pool.running_tasks(JOB)
+    for _ in range(3):
+        pool.advance_time(3.0)
+        pool.fail_over()
+    pool.advance_time(1.0)
+    assert pool.running_tasks(JOB)
+
+
+# Guards against work that runs three times as long: a new owner knew that it
+# had waited, and not yet the workers that are near its data.
+def test_long_wait_does_not_count_before_workers_have_reported() -> None:
+    pool = pools.Pool(workers=6)
+    full, *near = pool.workers[:3]
+    names = {fake.name for fake in near[:1]}
+    submit_to(pool, {full.name}, "busy", pools.step(gpus=8))
+    step = pools.step(gpus=8, data_rack="r1-0", estimate_ms=60_000)
+    submit_to(pool, names, JOB, step)
+    for worker in pool.scheduler.workers.values():
+        worker.cordoned = True
+    pool.end_tasks(JOB, "failed")
+    pool.advance_time(3.0)
+    assert not pool.running_tasks(JOB)
+    for fake in near:
+        fake.is_disconnected = True
+    pool.fail_over()
+    pool.settle()
+    assert not pool.running_tasks(JOB)
+    for fake in near:
+        fake.is_disconnected = False
+    pool.settle()
+    (placed,) = pool.running_tasks(JOB).values()
+    assert placed in near
