Crash proofs: the absence of a host goes on under a new owner

Callers saw a job at rest for up to 15 s longer with each takeover: it waits until a host that crashed under it has stayed up, or is absent for 15 s, and a new owner began to count at its own start.

Cause: the start of the absence is in no record.

Change: it is counted from the end of the group's last run, which is recorded; hosts have 3 s to report. How long a host has been up is shown anew, 6 s at the longest.

Evidence: test_absence_of_a_crashed_host_goes_on_under_a_new_owner failed before (25 s and five owners, at rest) and passes now.

--- a/kingcuplever/process/scheduling/crash_proofs.py
+++ b/kingcuplever/process/scheduling/crash_proofs.py
@@ -23,6 +23,8 @@
 _MAX_TRIAL_S: Final = 6.0
 # A host that is not back by then can confirm nothing.
 _MAX_ABSENCE_S: Final = 15.0
+# Time for a host that is up to report to a new owner.
+_MIN_RESTORED_S: Final = 3.0
 # Longer than the period of the checks, which extend it.
 _HOLD_S: Final = 0.5
 
@@ -46,7 +48,8 @@
     """The unconfirmed crashes of one owner's term.
 
     A takeover restores them from the jobs' records and starts their trials
-    anew; which hosts are unstable is forgotten.
+    anew, but for the time that a host may be absent; which hosts are unstable
+    is forgotten.
 
     :ivar log_lines: what was confirmed or dropped, for the scheduler's log.
     """
@@ -71,7 +74,10 @@
         """Take over the unconfirmed crashes in a group's record."""
         hosts = group.crashes.unconfirmed
         if hosts:
-            self._trials[group] = [_Trial(host, now) for host in hosts]
+            # The group waits since the last of these crashes.
+            since = group.ready_at if group.phase == job_state.WAITING else now
+            since = max(since, now + _MIN_RESTORED_S - _MAX_ABSENCE_S)
+            self._trials[group] = [_Trial(host, since) for host in hosts]
             self.hold(group, now)
 
     def forget(self, group: job_state.Group) -> None:
--- a/tests/test_takeovers.py
+++ b/tests/test_takeovers.py
@@ -305,3 +305,21 @@
     pool.settle()
     (placed,) = pool.running_tasks(JOB).values()
     assert placed in near
+
+
+# Guards against a job at rest for longer with each takeover: the host whose
+# crash it waits for never comes back.
+def test_absence_of_a_crashed_host_goes_on_under_a_new_owner() -> None:
+    pool = pools.Pool(workers=4)
+    pool.submit(JOB, pools.spec(pools.step(gpus=8, estimate_ms=60_000)))
+    pool.settle()
+    for _ in range(3):
+        (crashing,) = pool.running_tasks(JOB).values()
+        pool.end_worker(crashing, crashed=True).is_disconnected = True
+        pool.settle(8)
+    assert not pool.running_tasks(JOB)
+    for _ in range(5):
+        pool.advance_time(5.0)
+        pool.fail_over()
+    pool.settle(8)
+    assert pool.running_tasks(JOB)
