Soak: timed jobs with advice, jobs that last, graphs of steps, owners in series

The judge checks that each task of each occurrence of a completed job was done, that what lasts runs in the end, the order of steps, and starts after an end that is acknowledged later.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -27,6 +27,12 @@
 # Share of urgent jobs that come without a key; most need no accelerators, the
 # others whole workers.
 _ALERT_SHARE: Final = 0.15
+# Shares of timed jobs, whose first occurrence may run on one worker only, of
+# jobs that last, and of graphs of steps.
+_TIMED_SHARE: Final = 0.2
+_LASTING_SHARE: Final = 0.12
+_GRAPH_SHARE: Final = 0.12
+_TIMES: Final = 3
 _MAX_ATTEMPTS: Final = 6
 _CALL_TIMEOUT_S: Final = 4.0
 _RETRY_INTERVAL_S: Final = 0.4
@@ -45,6 +51,7 @@
     :ivar accepted_at: time of the first response with status 200, or 0.
     :ivar only_refused: whether every attempt to submit it was refused.
     :ivar wants_cancel: whether the caller cancels it once it is accepted.
+    :ivar cancel_after_s: how long after its acceptance.
     :ivar cancel_acknowledged_at: time of the response that acknowledged the
         cancellation, or 0.
     :ivar cancel_sent_at: time of the first attempt to cancel it, or 0.
@@ -61,6 +68,7 @@
         self.accepted_at = 0.0
         self.only_refused = True
         self.wants_cancel = False
+        self.cancel_after_s = 0.5
         self.cancel_acknowledged_at = 0.0
         self.cancel_sent_at = 0.0
         self.observed_states: list[tuple[float, str]] = []
@@ -70,6 +78,16 @@
         """The last observed state, or an empty string."""
         return self.observed_states[-1][1] if self.observed_states else ""
 
+    @property
+    def lasts(self) -> bool:
+        """Whether its tasks run until it is cancelled."""
+        return bool(self.body["Steps"][0].get("LongRunning"))
+
+    @property
+    def occurrences(self) -> int:
+        """How often its steps run."""
+        return max(1, int(self.body.get("Times", 0)))
+
 
 class Callers:
     """All callers of one soak run.
@@ -87,6 +105,11 @@
         # A stream of its own, so that the other jobs of a seed stay the same.
         self._wide_rng = random.Random(seed + 2)
         self._alert_rng = random.Random(seed + 3)
+        self._kinds_rng = random.Random(seed + 4)
+        # Number of the worker where occurrence 0 of a timed job may run.
+        self._first_workers: dict[str, int] = {}
+        site.adviser.is_allowed = self._is_allowed
+        self._workers = len(site.workers)
         self._pool = httpcore.AsyncConnectionPool(max_connections=200)
 
     async def run(self, seconds: float) -> None:
@@ -102,18 +125,23 @@
                     jobs.append(self._make_wide_job())
                 if self._alert_rng.random() < _ALERT_SHARE:
                     jobs.append(self._make_alert())
+                jobs += self._make_other_kinds()
                 for job in jobs:
                     self.jobs.append(job)
                     nursery.start_soon(self._run_caller, job)
                 await trio.sleep(self._rng.expovariate(2.0))
 
     async def wait_for_jobs(self, seconds: float) -> None:
-        """Poll all accepted jobs until they have ended or time is up."""
+        """Poll all accepted jobs until they have ended or time is up.
+
+        Those that last end only if they are cancelled.
+        """
         async with self._pool:
             with trio.move_on_after(seconds):
                 async with trio.open_nursery() as nursery:
                     for job in self.jobs:
-                        if job.accepted_at:
+                        ends = job.cancel_sent_at or not job.lasts
+                        if job.accepted_at and ends:
                             nursery.start_soon(self._poll_state, job)
 
     def _make_job(self) -> TrackedJob:
@@ -154,13 +182,73 @@
         job.prefix, job.key = wire_site.ALERTS_PREFIX, ""
         return job
 
+    def _make_other_kinds(self) -> list[TrackedJob]:
+        """Make jobs that are timed, last, or have steps in order."""
+        rng = self._kinds_rng
+        jobs = []
+        if rng.random() < _TIMED_SHARE:
+            jobs.append(self._make_timed_job())
+        if rng.random() < _LASTING_SHARE:
+            job = self._make_small_job(rng.randint(1, 3), lasts=True)
+            job.body["Steps"][0] |= {"LongRunning": True}
+            job.wants_cancel = rng.random() < 0.5
+            job.cancel_after_s = rng.uniform(1.0, 6.0)
+            jobs.append(job)
+        if rng.random() < _GRAPH_SHARE:
+            job = self._make_small_job(rng.randint(1, 3))
+            (step,) = job.body["Steps"]
+            after = rng.choice(([[], [0], [0, 1]], [[], [0], [0], [1, 2]]))
+            job.body["Steps"] = [step | {"After": row} for row in after]
+            jobs.append(job)
+        return jobs
+
+    def _make_timed_job(self) -> TrackedJob:
+        rng = self._kinds_rng
+        gpus = rng.choice((GPUS_PER_TASK, wire_worker.GPUS))
+        body = wire_site.make_job(rng.uniform(0.5, 2.5), Gpu=gpus)
+        payload = json.loads(body["Spec"]) | {"gpus": gpus, "advised": True}
+        body |= {
+            "Spec": json.dumps(payload),
+            "Times": _TIMES,
+            "FirstMs": int(time.time() * 1000) + 500,
+            "PeriodMs": rng.randint(300, 1500),
+        }
+        job = TrackedJob(f"{rng.getrandbits(64):016x}", body)
+        job.prefix = wire_site.ADVISED_PREFIX
+        self._first_workers[job.name] = rng.randrange(self._workers)
+        return job
+
+    def _make_small_job(self, count: int, **payload: Any) -> TrackedJob:
+        """Make a job of one step of small tasks.
+
+        :param payload: added to what the tasks are told.
+        """
+        rng = self._kinds_rng
+        body = wire_site.make_job(
+            rng.uniform(0.2, 1.0), count, Cpu=500, MemMb=64, Gpu=0
+        )
+        payload = json.loads(body["Spec"]) | {"gpus": 0} | payload
+        body["Spec"] = json.dumps(payload)
+        return TrackedJob(f"{rng.getrandbits(64):016x}", body)
+
+    def _is_allowed(self, step: str, worker: str) -> bool:
+        """Return the adviser's answer; ids of workers are ``i-N`` and so on.
+
+        Later occurrences may run on all workers, so they run first where the
+        one of occurrence 0 is busy.
+        """
+        job, occurrence, _ = step.split(".")
+        number = int(worker.partition("-")[2].partition(".")[0])
+        first = self._first_workers.get(job, 0)
+        return occurrence != "0" or number % self._workers == first
+
     async def _run_caller(self, job: TrackedJob) -> None:
         for _ in range(_MAX_ATTEMPTS):
             if await self._submit(job):
                 break
             await trio.sleep(_RETRY_INTERVAL_S)
         if job.accepted_at and job.wants_cancel:
-            await trio.sleep(0.5)
+            await trio.sleep(job.cancel_after_s)
             await self._cancel(job)
 
     async def _submit(self, job: TrackedJob) -> bool:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,10 @@
 _MIN_DURATION_S: Final = 0.3
 _MAX_DURATION_S: Final = 5.0
 _MEAN_INPUT_INTERVAL_S: Final = 4.0
+# Owners that fail one after another, and the pauses between them.
+_OWNER_FAULTS: Final = ("owner killed", "owner frozen", "owner stopped")
+_MAX_SERIES: Final = 5
+_MAX_SERIES_PAUSE_S: Final = 2.5
 # All workers are in this data centre.
 _EVACUATION_KEY: Final = "evacuate/hall"
 
@@ -351,7 +355,8 @@
         # One fault in three starts together with the next one.
         if rng.random() > 0.33:
             start_s += rng.expovariate(1 / _MEAN_INTERVAL_S)
-    return sorted([*faults, *_plan_inputs(seed, seconds)])
+    extra = [*_plan_inputs(seed, seconds), *_plan_series(seed, seconds)]
+    return sorted([*faults, *extra])
 
 
 def _plan_inputs(seed: int, seconds: float) -> list[Fault]:
@@ -369,6 +374,19 @@
     ]
 
 
+def _plan_series(seed: int, seconds: float) -> list[Fault]:
+    """Return a series of faults of owners, each of whoever owns then."""
+    rng = random.Random(f"series {seed}")
+    start_s = rng.uniform(1.0, seconds / 2)
+    faults = []
+    for _ in range(rng.randint(3, _MAX_SERIES)):
+        kind = rng.choice(_OWNER_FAULTS)
+        duration_s = rng.uniform(_MIN_DURATION_S, _MAX_SERIES_PAUSE_S)
+        faults.append(Fault(start_s, duration_s, kind, rng.randrange(9)))
+        start_s += rng.uniform(_MIN_DURATION_S, _MAX_SERIES_PAUSE_S)
+    return faults
+
+
 def pick_victim(site: wire_site.Site, fault: Fault) -> str:
     """Return the name of the process or the index of the worker to affect.
 
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -89,6 +89,9 @@
         *_check_concurrent_runs(observation),
         *_check_runs_after_end(observation),
         *_check_reported_states(observation),
+        *_check_completed_jobs(observation),
+        *_check_lasting_jobs(observation),
+        *_check_order(observation),
         *_check_cancelled_jobs(observation),
     ]
 
@@ -96,7 +99,7 @@
 def _check_lost_jobs(observation: Observation) -> Iterable[str]:
     """Check that accepted jobs that were not cancelled have ended."""
     for job in observation.jobs:
-        if job.accepted_at and not job.cancel_sent_at:
+        if job.accepted_at and not job.cancel_sent_at and not job.lasts:
             if job.state not in ("completed", "failed"):
                 yield f"LOST {job.name}: last reported as {job.state!r}"
 
@@ -150,18 +153,25 @@
 
 
 def _check_runs_after_end(observation: Observation) -> Iterable[str]:
-    """Check that no task starts again after its success was acknowledged."""
-    done_at = {
-        end.task: end.at
+    """Check that no task starts again after an end that is acknowledged.
+
+    It counts from the end on, whenever it is acknowledged.
+    """
+    acknowledged = {
+        (end.task, end.run)
         for end in observation.acknowledged_ends
         if end.outcome == "done"
     }
+    done_at: dict[str, float] = {}
     for run in observation.runs:
-        at = done_at.get(run.task)
-        if at is not None and run.started_at > at:
+        if (run.task, run.run_number) in acknowledged and run.phase == "done":
+            at = done_at.get(run.task, run.ended_at)
+            done_at[run.task] = min(at, run.ended_at)
+    for run in observation.runs:
+        if run.started_at > done_at.get(run.task, run.started_at):
             yield (
-                f"TWICE {run.task}: run {run.run_number} after its end was"
-                " acknowledged"
+                f"TWICE {run.task}: run {run.run_number} after an end that"
+                " was acknowledged"
             )
 
 
@@ -195,3 +205,63 @@
             late_s = run.ended_at - job.cancel_acknowledged_at
             if run.job_name == job.name and late_s > MAX_CANCEL_S:
                 yield f"UNASKED {run.task}: ran on for {late_s:.1f} s"
+
+
+def _check_completed_jobs(observation: Observation) -> Iterable[str]:
+    """Check that each task of each occurrence of a completed job was done.
+
+    One end of a gang stands for all its members.
+    """
+    done = {run.task for run in observation.runs if run.phase == "done"}
+    for job in observation.jobs:
+        if job.state != "completed":
+            continue
+        for occurrence in range(job.occurrences):
+            for number, step in enumerate(job.body["Steps"]):
+                names = _list_tasks(job, occurrence, number)
+                missing = [name for name in names if name not in done]
+                if step.get("Gang") and len(missing) < len(names):
+                    continue
+                for name in missing:
+                    yield f"MIXED {name}: never done, its job is completed"
+
+
+def _check_lasting_jobs(observation: Observation) -> Iterable[str]:
+    """Check that all tasks of jobs that last run in the end."""
+    running = {run.task for run in observation.runs if run.phase == "running"}
+    for job in observation.jobs:
+        if job.accepted_at and job.lasts and not job.cancel_sent_at:
+            for name in _list_tasks(job, 0, 0):
+                if name not in running:
+                    yield f"LOST {name}: it lasts, and does not run"
+
+
+def _check_order(observation: Observation) -> Iterable[str]:
+    """Check that the tasks of earlier steps are done before one starts."""
+    done_at: dict[str, float] = {}
+    for run in observation.runs:
+        if run.phase == "done":
+            at = done_at.get(run.task, run.ended_at)
+            done_at[run.task] = min(at, run.ended_at)
+    jobs = {job.name: job for job in observation.jobs}
+    for run in observation.runs:
+        job = jobs.get(run.job_name)
+        if job is None:
+            continue
+        occurrence, step = map(int, run.task.split(".")[1:3])
+        for earlier in job.body["Steps"][step].get("After", ()):
+            for name in _list_tasks(job, occurrence, earlier):
+                if done_at.get(name, run.ended_at) > run.started_at:
+                    yield f"ORDER {run.task}: started before {name} was done"
+
+
+def _list_tasks(
+    job: clients.TrackedJob, occurrence: int, step: int
+) -> list[str]:
+    count = job.body["Steps"][step]["Count"]
+    return [f"{job.name}.{occurrence}.{step}.{n}" for n in range(count)]
+
+
+def find_idle_lasting(observation: Observation) -> list[str]:
+    """Return a line for each task that lasts and does not run."""
+    return list(_check_lasting_jobs(observation))
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,8 @@
 
 # Work on a silent host is declared lost after 18 s and then runs again.
 _COMPLETION_TIMEOUT_S: Final = 60.0
+_LASTING_TIMEOUT_S: Final = 30.0
+_POLL_S: Final = 0.5
 
 
 class Shape(NamedTuple):
@@ -69,10 +71,7 @@
     with site:
         callers = clients.Callers(site, seed)
         trio.run(_run_callers_and_faults, site, callers, plan, shape.seconds)
-        workers = [*site.workers]
-        observation = judge.collect_observation(
-            callers.jobs, workers, time.time()
-        )
+        observation = _observe(site, callers)
         broken = [
             *judge.find_broken_promises(observation),
             *_check_configuration(site),
@@ -119,6 +118,17 @@
         if not process.is_alive:
             process.restart()
     await callers.wait_for_jobs(_COMPLETION_TIMEOUT_S)
+    with trio.move_on_after(_LASTING_TIMEOUT_S):
+        while judge.find_idle_lasting(_observe(site, callers)):
+            await trio.sleep(_POLL_S)
+
+
+def _observe(
+    site: wire_site.Site, callers: clients.Callers
+) -> judge.Observation:
+    return judge.collect_observation(
+        callers.jobs, [*site.workers], time.time()
+    )
 
 
 async def _inject_fault(site: wire_site.Site, fault: faults.Fault) -> None:
--- a/standins/wire_site.py
+++ b/standins/wire_site.py
@@ -28,6 +28,7 @@
 from standins import fleet
 from standins import gang_runs
 from standins import proxy
+from standins import wire_adviser
 from standins import wire_hosts
 from standins import wire_store
 from standins import wire_worker
@@ -38,6 +39,7 @@
 HOST: Final = "jobs.example"
 PREFIX: Final = "/rosters/"
 ALERTS_PREFIX: Final = "/alerts/"
+ADVISED_PREFIX: Final = "/advised/"
 # Limits of the smallest hosts.
 MEMORY_MB: Final = 200
 DESCRIPTORS: Final = 4100
@@ -178,12 +180,14 @@
         self.store = wire_store.WireStore()
         self.workers: list[wire_worker.WireWorker] = []
         self.hosts = wire_hosts.WireHosts(self.workers)
+        self.adviser = wire_adviser.WireAdviser()
         self.version = 0
         self.entries: dict[str, Process] = {}
         self.sides: dict[str, Process] = {}
         self._folder = folder
         self._store_address = fleet.free_address()
         self._hosts_address = fleet.free_address()
+        self._adviser_address = fleet.free_address()
         self._processes = {
             f"{role}-{number}": (role, _allocate_addresses())
             for role, count in (("entry", entries), ("side", sides))
@@ -369,18 +373,12 @@
         stop = trio.Event()
         async with trio.open_nursery() as nursery:
             self._cancel_scope = nursery.cancel_scope
-            await nursery.start(
-                http_server.serve,
-                self._store_address,
-                self.store.handle,
-                stop,
-            )
-            await nursery.start(
-                http_server.serve,
-                self._hosts_address,
-                self.hosts.handle,
-                stop,
-            )
+            for address, handler in (
+                (self._store_address, self.store.handle),
+                (self._hosts_address, self.hosts.handle),
+                (self._adviser_address, self.adviser.handle),
+            ):
+                await nursery.start(http_server.serve, address, handler, stop)
             for name in self._processes if self._proxied else ():
                 store_proxy = proxy.Proxy(
                     fleet.free_address(), self._store_address
@@ -425,6 +423,7 @@
 PortRange = [{port}, {port}]
 MetricsPort = {addresses.metrics.partition(":")[2]}
 app = "{addresses.worker}"
+Advice = "{self._adviser_address}"
 [Listen]
 Front = "{addresses.callers}"
 Ready = "{addresses.health}"
@@ -466,9 +465,16 @@
 
 
 def _make_routes() -> list[dict[str, Any]]:
-    """Make the routes of a site's usual queue, and of anyone's urgent one."""
+    """Make the routes of a site's usual, urgent and advised queues.
+
+    Anyone may use the urgent one.
+    """
     urgent = _make_route(ALERTS_PREFIX) | {"Priority": 0, "Public": True}
-    return [_make_route(PREFIX), urgent]
+    timing = {"DecideMs": 20, "IntervalMs": 2}
+    advised = _make_route(ADVISED_PREFIX) | {
+        "Advice": timing | {"ValidMs": wire_adviser.VALID_MS}
+    }
+    return [_make_route(PREFIX), urgent, advised]
 
 
 def _make_route(prefix: str) -> dict[str, Any]:
--- a/standins/wire_worker.py
+++ b/standins/wire_worker.py
@@ -2,7 +2,8 @@
 
 It registers with the side beside it, starts and stops tasks on request, ends
 them when their lease lapses, and lists ended runs until these are
-acknowledged.  A task's payload gives its duration.
+acknowledged.  A task's payload gives its duration; ``lasts`` there means that
+it runs until it is stopped, and ``advised`` that it needs a ticket.
 """
 
 import functools
@@ -17,6 +18,7 @@
 from kingcuplever import errors
 from standins import controls
 from standins import gang_runs
+from standins import wire_adviser
 import trio
 
 _REGISTRATION_PERIOD_S: Final = 0.4
@@ -101,6 +103,7 @@
             self.begin()
         self.seconds = float(payload["seconds"])
         self.fails = bool(payload.get("fails"))
+        self.lasts = bool(payload.get("lasts"))
         self.gpus = int(payload.get("gpus", 0))
 
     @property
@@ -239,8 +242,13 @@
         task, run = body["Task"], body["Run"]
         if run <= self._closed_runs.get(task, 0):
             return self._make_response({"Reason": "old"}, 409)
+        payload = json.loads(body["Spec"])
+        if payload.get("advised") and not wire_adviser.is_valid_ticket(
+            body.get("Ticket", ""), task.rpartition(".")[0], self.incarnation
+        ):
+            return self._make_response({"Reason": "ticket"}, 409)
         if task not in self._running:
-            started = _RunningTask(run, json.loads(body["Spec"]))
+            started = _RunningTask(run, payload)
             self._running[task] = started
             self.starts.append(TaskStart(task, run, time.time()))
             if started.gang_size:
@@ -352,7 +360,7 @@
                 self._end_task(task, "alone")
             elif self.fails_all or run.fails:
                 self._end_task(task, "failed")
-            elif run.percent >= 100:
+            elif run.percent >= 100 and not run.lasts:
                 self._end_task(task, "done")
 
     def _end_task(self, task: str, outcome: str) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,7 +19,8 @@
 def make_caller(state: str = "completed") -> clients.TrackedJob:
     """Return a caller whose job was accepted at 10 and ended at 20."""
     body = {
-        "Spec": json.dumps({"seconds": 1.0, "gpus": clients.GPUS_PER_TASK})
+        "Spec": json.dumps({"seconds": 1.0, "gpus": clients.GPUS_PER_TASK}),
+        "Steps": [{"Count": 1}],
     }
     caller = clients.TrackedJob(JOB, body)
     caller.accepted_at = 10.0
@@ -63,9 +64,41 @@
     return observation._replace(jobs=(caller,), runs=(late,))
 
 
+def add_occurrence(observation: judge.Observation) -> judge.Observation:
+    (caller,) = observation.jobs
+    caller.body["Times"] = 2
+    return observation
+
+
+def add_lasting_job(observation: judge.Observation) -> judge.Observation:
+    caller = make_caller("running")
+    caller.body["Steps"] = [{"Count": 1, "LongRunning": True}]
+    return observation._replace(jobs=(caller,))
+
+
+def swap_steps(observation: judge.Observation) -> judge.Observation:
+    (caller,) = observation.jobs
+    caller.body["Steps"] = [{"Count": 1}, {"Count": 1, "After": [0]}]
+    early = make_run(at=11.5)._replace(task=f"{JOB}.0.1.0", worker=1)
+    return observation._replace(runs=(make_run(), early))
+
+
+def start_before_acknowledgement(
+    observation: judge.Observation,
+) -> judge.Observation:
+    late = observation.acknowledged_ends[0]._replace(at=15.0)
+    return observation._replace(
+        runs=(make_run(), make_run(2, 1, 13.0)), acknowledged_ends=(late,)
+    )
+
+
 @pytest.mark.parametrize(
     ("change", "rule"),
     [
+        (add_occurrence, "MIXED"),
+        (add_lasting_job, "LOST"),
+        (swap_steps, "ORDER"),
+        (start_before_acknowledgement, "TWICE"),
         (lambda s: s._replace(jobs=(make_caller("running"),)), "LOST"),
         (lambda s: s._replace(jobs=(make_caller("gone"),)), "LOST"),
         (add_false_refusal, "REFUSED"),
