--- a/tests/pool.py
+++ b/tests/pool.py
@@ -273,6 +273,10 @@
         self.check_contained()
         self.scheduler = self._make_scheduler()
 
+    def make_successor(self) -> schedulers.Scheduler:
+        """Make a scheduler as the next owner would restore it."""
+        return self._make_scheduler()
+
     def check_contained(self) -> None:
         """Check that the scheduler has met no unexpected error."""
         self.contained += self.scheduler.take_contained_errors()
