Workers: a silent worker that no host has any more is not waited for

Cause: that the worker had ended was in no record, and nobody would report it again.

Change: while a worker with tasks is silent for over 4 s, and the workers could report to a new owner, the owner asks for the platform's list of hosts, which names the executor of each.

--- a/kingcuplever/process/owner/owner_term.py
+++ b/kingcuplever/process/owner/owner_term.py
@@ -18,6 +18,7 @@
 from kingcuplever import messages
 from kingcuplever.process import advisers
 from kingcuplever.process import job_metrics
+from kingcuplever.process.owner import absent_workers
 from kingcuplever.process.owner import evidence_writer
 from kingcuplever.process.owner import maintenance_controller
 from kingcuplever.process.owner import side_links
@@ -50,6 +51,8 @@
 # Longest time without an append by the owner; failure detection depends on it.
 _RENEWAL_PERIOD_S: Final = 0.4
 _RETRY_S: Final = 0.1
+# Time between requests for the list of hosts while a worker is silent.
+_SILENCE_CHECK_PERIOD_S: Final = 1.0
 # Time between summaries of the state in the log.
 _SUMMARY_PERIOD_S: Final = 10.0
 # Timeout of the resignation; without it, other entries detect the end of the
@@ -138,6 +141,7 @@
                     self._metrics.barrier,
                 )
                 nursery.start_soon(controller.run)
+                nursery.start_soon(self._remove_gone_workers, self._hosts)
             await self.ended.wait()
             nursery.cancel_scope.cancel()
 
@@ -363,6 +367,28 @@
                 self.ended.set()
             await trio.sleep(_RETRY_S)
 
+    async def _remove_gone_workers(
+        self, hosts: maintenance_controller.HostService
+    ) -> None:
+        """Look for silent workers on the platform's list of hosts."""
+        absent = absent_workers.AbsentWorkers()
+        while True:
+            await trio.sleep(_SILENCE_CHECK_PERIOD_S)
+            silent = self.scheduler.list_silent_workers(trio.current_time())
+            if not silent:
+                continue
+            with self._metrics.barrier.contain("silent workers", "all"):
+                try:
+                    listed = await hosts.list_hosts()
+                except errors.PlatformFailed as error:
+                    text = f"No list of hosts: {error.detail}"
+                    logs.warn(logs.Component.MEMBER, text)
+                    continue
+                now = trio.current_time()
+                for name in absent.find_gone(silent, listed, now):
+                    self.scheduler.remove_gone_worker(name, now)
+                    self.wake()
+
     async def _query_adviser(self) -> None:
         """Ask the platform which workers may run a step, one by one."""
         if self._adviser is None:
--- a/kingcuplever/process/scheduling/scheduler.py
+++ b/kingcuplever/process/scheduling/scheduler.py
@@ -340,6 +340,14 @@
         self._uncommitted[self._batch_number] = deferred
         return RecordBatch(self._batch_number, tuple(records))
 
+    def list_silent_workers(self, now: float) -> list[str]:
+        """Return the workers with tasks that have not reported for long."""
+        return self._workers.list_silent(now)
+
+    def remove_gone_worker(self, name: str, now: float) -> None:
+        """Remove a silent worker that is surely gone; its tasks start anew."""
+        self._workers.remove_gone(name, now)
+
     def is_silence_recorded(self, worker: str) -> bool:
         """Return whether a successor may count a worker's silence."""
         return self._state.silences.is_recorded(worker)
--- a/kingcuplever/process/scheduling/worker_tracker.py
+++ b/kingcuplever/process/scheduling/worker_tracker.py
@@ -20,6 +20,8 @@
 # A worker whose last report is older takes no new work: two report periods
 # of a side and some slack.
 MAX_REPORT_AGE_S: Final = 2.5
+# A worker with tasks that is silent for longer is looked for elsewhere.
+_LONG_SILENCE_S: Final = 4.0
 # A task without progress for this long on its worker's clock has stalled.  The
 # fixed part covers at least one report in between; the share of the estimate
 # covers the smallest progress that a report shows, for a task that takes
@@ -133,6 +135,25 @@
         for group in groups:
             self._state.crash_proofs.hold(group, now)
 
+    def list_silent(self, now: float) -> list[str]:
+        """Return the workers with tasks that have not reported for long.
+
+        There are none until all could report to a new owner.
+        """
+        if now < self._state.warmup_ends_at:
+            return []
+        return [
+            worker.name
+            for worker in self._state.workers.values()
+            if worker.allocations
+            and now - worker.last_report_at > _LONG_SILENCE_S
+        ]
+
+    def remove_gone(self, name: str, now: float) -> None:
+        """Remove a worker that has ended, unless it has reported since."""
+        if name in self.list_silent(now):
+            self._remove_worker(name, now, "no host has it any more")
+
     def restore_silences(self, silent_since: dict[str, float]) -> None:
         """Count the silences of sides that a former owner has recorded.
 
--- a/standins/wire_hosts.py
+++ b/standins/wire_hosts.py
@@ -19,6 +19,7 @@
         maintenance.
     :ivar killed_runs: count of task runs that were ended by a maintenance.
     :ivar max_down: largest count of hosts that were down at the same time.
+    :ivar removed: numbers of the hosts that are gone for good.
     :ivar is_busy: whether to answer that no host can go down now.
     """
 
@@ -27,6 +28,7 @@
         self.maintenance_calls: list[tuple[str, int]] = []
         self.killed_runs = 0
         self.max_down = 0
+        self.removed: set[int] = set()
         self.is_busy = False
         self._workers = workers
         self._up_at: dict[str, float] = {}
@@ -36,7 +38,8 @@
     ) -> http_server.HttpResponse:
         """Answer one HTTP request."""
         if request.method == "GET":
-            rows = [self._make_row(n) for n in range(len(self._workers))]
+            numbers = {*range(len(self._workers))} - self.removed
+            rows = [self._make_row(n) for n in sorted(numbers)]
             return http_server.json_response({"Machines": rows})
         if self.is_busy:
             body = json.dumps({"Reason": "busy"}).encode()
