Parity: why a successor does not stop a run on a restarted worker

Cause: on a last reading the reason beside this allowed difference was wrong: a new incarnation does not just run nothing, a successor starts the run there. Change: the text, and the order of a view's fields in its description.

--- a/tests/takeover_parity.py
+++ b/tests/takeover_parity.py
@@ -22,10 +22,8 @@
     "maintenance": "the operator's order stands, and the host is empty or not",
     "shrunk": "the worker says again how much room it has",
     "withdrawn": "the evacuation stands, and the run is listed or not",
-    "restarted": "the record names the new incarnation, which runs nothing",
+    "restarted": "the record names the new incarnation: the run starts there",
 }
-
-
 # How much later than decided a quarantine may be read from the log.
 MAX_LATE_S: Final = 0.1
 # Most by which the histories set the clock, in either direction.
@@ -37,10 +35,10 @@
 class GroupView(NamedTuple):
     """What an owner knows of a group that has been placed.
 
+    :ivar workers: worker of each member.
     :ivar stop: first word of the reason why it is being stopped.
     :ivar ready_at: when its last run ended, if it waits for another.
     :ivar waits_longest: whether that was so long ago that it counts as less.
-    :ivar workers: worker of each member.
     """
 
     run: int
