Soak: the first end of each task is found in one place

Cause: on a last reading two checks of the judge computed it with the same lines, and what the run waits for was a wrapper of a check. Change: one function for it; the check itself returns a list. No check is another.

--- a/soak/judge.py
+++ b/soak/judge.py
@@ -90,7 +90,7 @@
         *_check_runs_after_end(observation),
         *_check_reported_states(observation),
         *_check_completed_jobs(observation),
-        *_check_lasting_jobs(observation),
+        *find_idle_lasting_tasks(observation),
         *_check_order(observation),
         *_check_cancelled_jobs(observation),
     ]
@@ -162,11 +162,11 @@
         for end in observation.acknowledged_ends
         if end.outcome == "done"
     }
-    done_at: dict[str, float] = {}
-    for run in observation.runs:
-        if (run.task, run.run_number) in acknowledged and run.phase == "done":
-            at = done_at.get(run.task, run.ended_at)
-            done_at[run.task] = min(at, run.ended_at)
+    done_at = _find_first_ends(
+        run
+        for run in observation.runs
+        if (run.task, run.run_number) in acknowledged
+    )
     for run in observation.runs:
         if run.started_at > done_at.get(run.task, run.started_at):
             yield (
@@ -226,23 +226,21 @@
                     yield f"MIXED {name}: never done, its job is completed"
 
 
-def _check_lasting_jobs(observation: Observation) -> Iterable[str]:
-    """Check that all tasks of jobs that last run in the end."""
+def find_idle_lasting_tasks(observation: Observation) -> list[str]:
+    """Return a line for each task of a job that lasts that does not run."""
+    broken = []
     running = {run.task for run in observation.runs if run.phase == "running"}
     for job in observation.jobs:
         if job.accepted_at and job.lasts and not job.cancel_sent_at:
             for name in _list_tasks(job, 0, 0):
                 if name not in running:
-                    yield f"LOST {name}: it lasts, and does not run"
+                    broken.append(f"LOST {name}: it lasts, and does not run")
+    return broken
 
 
 def _check_order(observation: Observation) -> Iterable[str]:
     """Check that the tasks of earlier steps are done before one starts."""
-    done_at: dict[str, float] = {}
-    for run in observation.runs:
-        if run.phase == "done":
-            at = done_at.get(run.task, run.ended_at)
-            done_at[run.task] = min(at, run.ended_at)
+    done_at = _find_first_ends(observation.runs)
     jobs = {job.name: job for job in observation.jobs}
     for run in observation.runs:
         job = jobs.get(run.job_name)
@@ -255,13 +253,18 @@
                     yield f"ORDER {run.task}: started before {name} was done"
 
 
+def _find_first_ends(runs: Iterable[ObservedRun]) -> dict[str, float]:
+    """Return when a run of each task first ended as done, by task."""
+    done_at: dict[str, float] = {}
+    for run in runs:
+        if run.phase == "done":
+            at = done_at.get(run.task, run.ended_at)
+            done_at[run.task] = min(at, run.ended_at)
+    return done_at
+
+
 def _list_tasks(
     job: clients.TrackedJob, occurrence: int, step: int
 ) -> list[str]:
     count = job.body["Steps"][step]["Count"]
     return [f"{job.name}.{occurrence}.{step}.{n}" for n in range(count)]
-
-
-def find_idle_lasting(observation: Observation) -> list[str]:
-    """Return a line for each task that lasts and does not run."""
-    return list(_check_lasting_jobs(observation))
--- a/soak/run.py
+++ b/soak/run.py
@@ -119,7 +119,7 @@
             process.restart()
     await callers.wait_for_jobs(_COMPLETION_TIMEOUT_S)
     with trio.move_on_after(_LASTING_TIMEOUT_S):
-        while judge.find_idle_lasting(_observe(site, callers)):
+        while judge.find_idle_lasting_tasks(_observe(site, callers)):
             await trio.sleep(_POLL_S)
 
 
