--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -188,6 +188,7 @@
                     wire_site.POOL,
                     f"r1-{1 + number // 3}",
                     addresses.registry,
+                    states_birth=self.states_birth,
                     gangs=self._gangs,
                 )
                 self.workers.append(executor)
